--- /dev/null
+++ b/crates/wirehost/src/main.rs
@@ -0,0 +1,19 @@
+//! `quaypath-wirehost`: hosts decision cores, one for each initiator, on the text wire.
+
+mod settings;
+mod wire;
+
+use std::io::{self, BufReader, BufWriter};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    // A panic of the core is reported on the wire; the default hook would only repeat it here.
+    std::panic::set_hook(Box::new(|_| {}));
+    match wire::serve(BufReader::new(io::stdin().lock()), BufWriter::new(io::stdout().lock())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("quaypath-wirehost: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,776 @@
+//! All decisions of one initiator. The caller makes a [`Brain`] with `Brain::start`, then calls one method
+//! for each event, in order, with the clock time `now`; what the brain wants done leaves through the `Outbox`
+//! in that same call. It keeps no clock, no threads and nothing outside itself; a killed initiator is a
+//! dropped `Brain`. The interface (ids, settings, actions) is `types.rs`; `ring.rs` only adds up.
+//!
+//! Reading order: tuning values, states, events, ordinary path (pick, send, account), exceptions (health,
+//! cold nodes, late and further shots), guards of the rules.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use nanorand::{Rng, WyRand};
+
+use crate::ring::Ring;
+use crate::types::*;
+
+/// The design's starting estimates: a random unit of work against the due time, a run against a random one.
+const RANDOM_PART: f64 = 1.0 / 8.0;
+const RUN_PART: f64 = 0.1;
+/// Extents remembered for the run test; the node is shared, so only the very last are likely still warm.
+const RECENT: usize = 2;
+/// The design's bound on shots out at one node for one initiator.
+const MOST_OUT: f64 = 20.0;
+/// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
+/// mechanism still has the choice.
+const NODE_PART: f64 = 0.35;
+/// A single gap counts at most this often (and at least one part in this) of what the node's pace makes likely.
+const GAP_CLAMP: f64 = 3.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Held for its first shot, in the line of its volume at its node.
+    Waiting,
+    /// Held in the node's second line: a further shot, or a client's repeat whose due time has passed.
+    Again,
+    Out,
+    /// Answered; kept only while a shot has no outcome.
+    Over,
+}
+
+struct Transaction {
+    state: State,
+    band: BandId,
+    plan: Option<PlanId>,
+    volume: VolumeId,
+    extent: Option<ExtentId>,
+    units: f64,
+    block: BlockId,
+    /// A new object: any node may take it until a shot may have run.
+    movable: bool,
+    due: f64,
+    outer: f64,
+    give_up: f64,
+    shots: u32,
+    shot_out: bool,
+    sent_at: f64,
+    was_idle: bool,
+    estimate: f64,
+    /// When the first shot that may have run was sent.
+    maybe_ran: Option<f64>,
+}
+
+/// What is known of the node that holds one block, and what waits for it.
+struct Post {
+    node: Option<NodeId>,
+    ready: bool,
+    started: f64,
+    out: f64,
+    bound: f64,
+    cut_at: f64,
+    misses: i32,
+    next_try: f64,
+    wake_at: f64,
+    last_done: f64,
+    recent: VecDeque<ExtentId>,
+    lines: BTreeMap<VolumeId, VecDeque<TransactionId>>,
+    again: VecDeque<TransactionId>,
+    held: f64,
+    gaps: Ring,
+    gap_estimates: Ring,
+    delays: Ring,
+    delay_estimates: Ring,
+    strain: Ring,
+    answers: Ring,
+    young: Ring,
+}
+
+struct Volume {
+    plan: Option<PlanId>,
+    hosts: f64,
+    reserve: f64,
+    limit: f64,
+    filled_at: f64,
+    usage: Ring,
+}
+
+#[derive(Default)]
+struct Turn {
+    line: VecDeque<TransactionId>,
+    quiet_until: f64,
+}
+
+pub struct Brain {
+    set: Settings,
+    chance: WyRand,
+    started: f64,
+    transactions: BTreeMap<TransactionId, Transaction>,
+    posts: BTreeMap<BlockId, Post>,
+    volumes: BTreeMap<VolumeId, Volume>,
+    turns: BTreeMap<ExtentId, Turn>,
+    longest: Vec<f64>,
+    taken: Ring,
+    further: Ring,
+    failed_calls: i32,
+}
+
+const TAG_GIVE_UP: u64 = 0;
+const TAG_WAKE: u64 = 1;
+const TAG_ASK: u64 = 2;
+
+impl Brain {
+    pub fn start(now: f64, seed: u64, set: Settings, out: &mut impl Outbox) -> Self {
+        if set.must_ask {
+            out.subscribe(true);
+        }
+        let look_back = set.further.map_or(1.0, |(_, _, look_back)| look_back);
+        Brain {
+            chance: WyRand::new_seed(seed),
+            started: now,
+            transactions: BTreeMap::new(),
+            posts: BTreeMap::new(),
+            volumes: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            longest: vec![0.0; set.bands.len()],
+            // The one ring forgets a little early and the other a little late, so that neither helps the budget.
+            taken: Ring::new(look_back / 50.0, 50),
+            further: Ring::new(look_back / 50.0, 52),
+            failed_calls: 0,
+            set,
+        }
+    }
+
+    pub fn list_known(
+        &mut self,
+        now: f64,
+        scope: ListScope,
+        entries: &[(NodeId, BlockId, Condition, f64)],
+        out: &mut impl Outbox,
+    ) {
+        if scope == ListScope::Failed {
+            // The notice may mean a lost subscription, so ask again; spaced and jittered, because the
+            // register serves all initiators and a crowd of repeats would keep it from answering any.
+            self.failed_calls += 1;
+            let wait = 0.5 * f64::from(1 << self.failed_calls.min(3)) * self.spread();
+            return out.set_timer(wait, TAG_ASK);
+        }
+        if scope != ListScope::Cached {
+            self.failed_calls = 0;
+        }
+        if scope != ListScope::Changes {
+            for post in self.posts.values_mut() {
+                post.ready &= entries.iter().any(|(node, ..)| Some(node) == post.node.as_ref());
+            }
+        }
+        for (node, block, condition, started) in entries {
+            let ours = self.posts.get(block).is_some_and(|post| post.node.as_ref() == Some(node));
+            if *condition != Condition::Ready {
+                if ours {
+                    self.post(*block).ready = false;
+                }
+                continue;
+            }
+            let fresh = self.fresh_post();
+            let post = self.post(*block);
+            if !ours || post.started != *started {
+                let (lines, again) = (std::mem::take(&mut post.lines), std::mem::take(&mut post.again));
+                let out = if ours { post.out } else { 0.0 };
+                *post = Post { lines, again, held: post.held, out, ..fresh };
+                (post.node, post.started) = (Some(node.clone()), *started);
+            }
+            post.ready = true;
+            self.pump(now, *block, out);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn taken(
+        &mut self,
+        now: f64,
+        id: TransactionId,
+        hosts: f64,
+        plan: Option<PlanId>,
+        band: BandId,
+        extent: Option<ExtentId>,
+        budget: f64,
+        units: f64,
+        volume: VolumeId,
+        block: Option<BlockId>,
+        out: &mut impl Outbox,
+    ) {
+        self.taken.add(now, 1.0);
+        self.volumes.entry(volume.clone()).or_insert_with(|| Volume {
+            plan,
+            hosts: hosts.max(1.0),
+            reserve: 0.0,
+            // Empty, not full: a restart must not hand out a second burst, and a first start looks the same.
+            limit: 0.0,
+            filled_at: now,
+            usage: Ring::new(0.5, 6),
+        });
+        // A client's repeat has less time left than a first try; what it already spent counts against its
+        // due time, which belongs to the first try.
+        self.longest[band.0] = self.longest[band.0].max(budget);
+        let spent = self.longest[band.0] - budget;
+        let due = now + (self.set.bands[band.0].due - spent).min(budget);
+        let movable = block.is_none();
+        let block = block.unwrap_or_else(|| self.place(now));
+        let estimate = self.estimate(band, units);
+        let late = due <= now;
+        let sojourn = self.sojourn(now, block, estimate);
+        let give_up = if late { now + 0.5 * budget } else { (due - sojourn).max(0.75 * now + 0.25 * due) };
+        if self.set.bands[band.0].ordered {
+            if let Some(extent) = &extent {
+                self.turns.entry(extent.clone()).or_default().line.push_back(id);
+            }
+        }
+        self.transactions.insert(
+            id,
+            Transaction {
+                state: State::Over,
+                band,
+                plan,
+                volume,
+                extent,
+                units,
+                block,
+                movable,
+                due,
+                outer: now + budget,
+                give_up,
+                shots: 0,
+                shot_out: false,
+                sent_at: now,
+                was_idle: false,
+                estimate,
+                maybe_ran: None,
+            },
+        );
+        self.shift(id, if late { State::Again } else { State::Waiting });
+        self.pump(now, block, out);
+        if self.transactions[&id].state != State::Out {
+            out.set_timer(give_up - now, id.0 << 2 | TAG_GIVE_UP);
+        }
+    }
+
+    /// No band that streams is known to the core; the outcome that follows ends the transaction.
+    pub fn answer_began(
+        &mut self,
+        _now: f64,
+        _id: TransactionId,
+        _shot: u32,
+        _node: &NodeId,
+        _out: &mut impl Outbox,
+    ) {
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn returned(
+        &mut self,
+        now: f64,
+        id: TransactionId,
+        node: &NodeId,
+        _shot: u32,
+        _used: f64,
+        delay: f64,
+        last: bool,
+        outcome: Outcome,
+        _others: f64,
+        _report: &[f64],
+        out: &mut impl Outbox,
+    ) {
+        let Some(t) = self.transactions.get_mut(&id) else { return };
+        t.shot_out = false;
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
+        if !never_ran {
+            t.maybe_ran.get_or_insert(t.sent_at);
+        }
+        let (block, over) = (t.block, t.state == State::Over);
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            if let Some(turn) = t.extent.as_ref().and_then(|extent| self.turns.get_mut(extent)) {
+                turn.quiet_until = now + self.set.key_quiet;
+            }
+        }
+        if self.post(block).node.as_ref() == Some(node) {
+            self.account(now, id, delay, outcome);
+        }
+        if over || last || outcome == Outcome::Settled {
+            self.end(now, id, out);
+        } else if self.may_send(now, id) && now < self.transactions[&id].give_up {
+            if self.transactions[&id].movable && never_ran {
+                let place = self.place(now);
+                self.transactions.get_mut(&id).unwrap().block = place;
+            }
+            self.shift(id, State::Again);
+            let t = &self.transactions[&id];
+            out.set_timer(t.give_up - now, id.0 << 2 | TAG_GIVE_UP);
+            let moved = t.block;
+            self.pump(now, moved, out);
+        } else {
+            self.give_up(now, id, out);
+        }
+        self.pump(now, block, out);
+    }
+
+    pub fn lapsed(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
+        self.end(now, id, out);
+    }
+
+    pub fn rang(&mut self, now: f64, tag: u64, out: &mut impl Outbox) {
+        match (tag & 3, tag >> 2) {
+            (TAG_GIVE_UP, id) => {
+                let id = TransactionId(id);
+                let Some(t) = self.transactions.get(&id) else { return };
+                if matches!(t.state, State::Waiting | State::Again) && now >= t.give_up - 1e-6 {
+                    self.give_up(now, id, out);
+                }
+            }
+            (TAG_WAKE, block) => {
+                let block = BlockId(block as i64);
+                self.post(block).wake_at = 0.0;
+                self.pump(now, block, out);
+            }
+            _ => out.subscribe(true),
+        }
+    }
+
+    pub fn probed(
+        &mut self,
+        _now: f64,
+        _node: &NodeId,
+        _outcome: Outcome,
+        _delay: f64,
+        _report: &[f64],
+        _out: &mut impl Outbox,
+    ) {
+    }
+
+    pub fn told(&mut self, _now: f64, _initiator: u64, _payload: &[u8], _out: &mut impl Outbox) {}
+
+    /// Every change of a transaction's state, with the line it leaves and the line it joins.
+    fn shift(&mut self, id: TransactionId, to: State) {
+        let t = self.transactions.get_mut(&id).unwrap();
+        let from = std::mem::replace(&mut t.state, to);
+        let due = t.due;
+        let post = self.posts.get_mut(&t.block).unwrap();
+        match from {
+            State::Waiting => {
+                let line = post.lines.get_mut(&t.volume).unwrap();
+                line.retain(|held| *held != id);
+                if line.is_empty() {
+                    post.lines.remove(&t.volume);
+                }
+            }
+            State::Again => post.again.retain(|held| *held != id),
+            State::Out | State::Over => {}
+        }
+        match to {
+            State::Waiting => {
+                let volume = t.volume.clone();
+                let before = |held: &TransactionId| self.transactions[held].due <= due;
+                let line = post.lines.entry(volume).or_default();
+                let at = line.iter().rposition(before).map_or(0, |at| at + 1);
+                line.insert(at, id);
+            }
+            State::Again => post.again.push_back(id),
+            State::Out | State::Over => {}
+        }
+        let held = |state| f64::from(u8::from(matches!(state, State::Waiting | State::Again)));
+        post.held += held(to) - held(from);
+    }
+
+    // The ordinary path.
+
+    fn estimate(&self, band: BandId, units: f64) -> f64 {
+        self.set.bands[band.0].due * RANDOM_PART * units / self.set.mean_units.max(1.0)
+    }
+
+    /// How long a shot of this estimate is likely to spend at the node, by the last answers there.
+    fn sojourn(&mut self, now: f64, block: BlockId, estimate: f64) -> f64 {
+        let post = self.post(block);
+        let seen = post.delay_estimates.sum(now);
+        if seen > 0.0 {
+            estimate * post.delays.sum(now) / seen
+        } else {
+            estimate
+        }
+    }
+
+    fn pump(&mut self, now: f64, block: BlockId, out: &mut impl Outbox) {
+        loop {
+            let post = self.post(block);
+            if !post.ready || post.held == 0.0 || post.out >= post.bound.floor() {
+                return;
+            }
+            let mut wake = post.next_try;
+            if now >= post.next_try {
+                match self.pick(now, block) {
+                    Ok(id) => {
+                        self.send(now, id, out);
+                        continue;
+                    }
+                    Err(at) => wake = at,
+                }
+            }
+            let post = self.post(block);
+            if wake > now && wake < f64::INFINITY && post.wake_at <= now {
+                // One timer stands for all that waits here for time to pass, at most one each 10 ms.
+                post.wake_at = wake.max(now + 0.01);
+                let tag = (block.0 as u64) << 2 | TAG_WAKE;
+                out.set_timer(wake.max(now + 0.01) - now, tag);
+            }
+            return;
+        }
+    }
+
+    /// The next transaction for this node, or when to look again.
+    fn pick(&mut self, now: f64, block: BlockId) -> Result<TransactionId, f64> {
+        let mut look_again = f64::INFINITY;
+        let mut best: Option<((u8, f64), TransactionId)> = None;
+        let cold = self.cold(now, block);
+        let lines: Vec<VolumeId> = self.posts[&block].lines.keys().cloned().collect();
+        for name in lines {
+            self.fill(now, &name);
+            let line = &self.posts[&block].lines[&name];
+            let Some(id) = line.iter().copied().find(|id| match self.turn_wait(now, *id) {
+                Some(at) => {
+                    look_again = look_again.min(at);
+                    at <= now
+                }
+                None => false,
+            }) else {
+                continue;
+            };
+            if let Err(at) = self.fits(now, id) {
+                look_again = look_again.min(at);
+                continue;
+            }
+            let t = &self.transactions[&id];
+            let rank = if cold {
+                (
+                    0,
+                    -self.set.bands[t.band.0].benefit
+                        * t.plan.map_or(1.0, |plan| self.set.plans[plan.0].factor),
+                )
+            } else {
+                self.rank(now, &name, t.estimate)
+            };
+            if best.as_ref().is_none_or(|(known, _)| rank < *known) {
+                best = Some((rank, id));
+            }
+        }
+        if let Some((_, id)) = best {
+            return Ok(id);
+        }
+        let again: Vec<TransactionId> = self.posts[&block].again.iter().copied().collect();
+        for id in again {
+            let volume = self.transactions[&id].volume.clone();
+            self.fill(now, &volume);
+            match (self.turn_wait(now, id), self.fits(now, id)) {
+                (Some(at), Ok(())) if at <= now && self.may_send(now, id) => return Ok(id),
+                (Some(at), Ok(())) => look_again = look_again.min(at.max(now + 0.02)),
+                (Some(_), Err(at)) => look_again = look_again.min(at),
+                (None, _) => {}
+            }
+        }
+        Err(look_again)
+    }
+
+    /// Reserve first, by the time at which the bucket covers (or covered) the estimate; then slack, to the
+    /// volume with the least charged time of the last few seconds for its weight.
+    fn rank(&mut self, now: f64, name: &VolumeId, estimate: f64) -> (u8, f64) {
+        let share = self.reserve_share(name);
+        let volume = self.volumes.get_mut(name).unwrap();
+        let weight = volume.plan.map_or(1.0, |plan| self.set.plans[plan.0].weight).max(0.01);
+        // The bucket never holds more than a second's share, so a full one covers any estimate.
+        let wait = (estimate.min(share) - volume.reserve) / share.max(1e-9);
+        if share > 0.0 && wait <= 0.0 {
+            (0, wait)
+        } else {
+            (1, volume.usage.sum(now) / weight)
+        }
+    }
+
+    /// This initiator's part of the volume's reservation, in node time a second.
+    fn reserve_share(&self, name: &VolumeId) -> f64 {
+        let volume = &self.volumes[name];
+        let reservation = volume.plan.map_or(0.0, |plan| self.set.plans[plan.0].reservation);
+        let unit = self.set.bands.iter().map(|band| band.due).fold(f64::INFINITY, f64::min) * RANDOM_PART;
+        reservation / volume.hosts * unit / self.set.mean_units.max(1.0)
+    }
+
+    fn fill(&mut self, now: f64, name: &VolumeId) {
+        let share = self.reserve_share(name);
+        let volume = self.volumes.get_mut(name).unwrap();
+        let past = now - volume.filled_at;
+        volume.filled_at = now;
+        volume.reserve = (volume.reserve + share * past).min(share);
+        if let Some(plan) = volume.plan.map(|plan| &self.set.plans[plan.0]) {
+            volume.limit = (volume.limit + plan.limit / volume.hosts * past).min(plan.burst / volume.hosts);
+        }
+    }
+
+    /// Charged time; the reserve bucket stays within a second's share either way.
+    fn charge(&mut self, now: f64, name: &VolumeId, time: f64) {
+        let share = self.reserve_share(name);
+        let volume = self.volumes.get_mut(name).unwrap();
+        volume.reserve = (volume.reserve - time).clamp(-share, share);
+        volume.usage.add(now, time);
+    }
+
+    fn send(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
+        self.shift(id, State::Out);
+        let (band, units) = (self.transactions[&id].band, self.transactions[&id].units);
+        let mut estimate = self.estimate(band, units);
+        let t = self.transactions.get_mut(&id).unwrap();
+        let post = self.posts.get_mut(&t.block).unwrap();
+        if let Some(extent) = &t.extent {
+            if t.shots == 0 && post.recent.contains(extent) {
+                estimate *= RUN_PART;
+            }
+            post.recent.retain(|known| known != extent);
+            post.recent.push_back(extent.clone());
+            if post.recent.len() > RECENT {
+                post.recent.pop_front();
+            }
+        }
+        (t.estimate, t.sent_at, t.was_idle, t.shot_out) = (estimate, now, post.out == 0.0, true);
+        post.out += 1.0;
+        post.young.add(now, units);
+        t.shots += 1;
+        let stop_at = t.outer.min(t.due.max(now) + self.set.bands[band.0].due);
+        let name = t.volume.clone();
+        if let Some(node) = &post.node {
+            out.send(id, stop_at, node);
+        }
+        if t.shots > 1 {
+            self.further.add(now, 1.0);
+        } else {
+            self.volumes.get_mut(&name).unwrap().limit -= units;
+        }
+        self.charge(now, &name, estimate);
+    }
+
+    /// What an outcome tells of its node: the gap corrects the volume's account, the delay moves the bound.
+    fn account(&mut self, now: f64, id: TransactionId, delay: f64, outcome: Outcome) {
+        let t = &self.transactions[&id];
+        let (estimate, block, name) = (t.estimate, t.block, t.volume.clone());
+        let (due, was_idle) = (self.set.bands[t.band.0].due, t.was_idle);
+        let spread = self.spread();
+        let post = self.post(block);
+        post.out = (post.out - 1.0).max(0.0);
+        match outcome {
+            Outcome::Settled => {
+                let gap = if was_idle { delay } else { (now - post.last_done).max(0.0) };
+                post.last_done = now;
+                post.misses = 0;
+                post.gaps.add(now, gap);
+                post.gap_estimates.add(now, estimate);
+                post.delays.add(now, delay);
+                post.delay_estimates.add(now, estimate);
+                post.strain.add(now, delay / due);
+                post.answers.add(now, 1.0);
+                let strain = post.strain.sum(now) / post.answers.sum(now).max(1.0);
+                if strain > NODE_PART {
+                    if now >= post.cut_at {
+                        post.bound = (post.bound * 0.8).max(1.0);
+                        post.cut_at = now + 0.2;
+                    }
+                } else if post.out + 1.0 >= post.bound.floor() {
+                    post.bound = (post.bound + 1.0 / post.bound).min(MOST_OUT);
+                }
+                // Against a slow or shared node: its gaps are long for all alike, so a gap is read against
+                // the node's own pace, and a pause that lands on one completion is clamped.
+                let pace = post.gaps.sum(now) / post.gap_estimates.sum(now).max(1e-9);
+                let likely = (estimate * pace).max(1e-9);
+                let measured = estimate * (gap / likely).clamp(1.0 / GAP_CLAMP, GAP_CLAMP);
+                self.charge(now, &name, measured - estimate);
+            }
+            Outcome::Full => {
+                post.misses = 0;
+                post.bound = (post.bound * 0.5).max(1.0);
+                post.next_try = now + 0.02;
+            }
+            Outcome::Failed => post.misses = 0,
+            Outcome::Unreachable | Outcome::TimedOut | Outcome::Reset => {
+                post.misses += 1;
+                if outcome == Outcome::Unreachable || post.misses >= 3 {
+                    post.bound = 1.0;
+                    post.next_try = now + 0.05 * f64::from(1 << post.misses.min(5)) * spread;
+                }
+            }
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
+    }
+
+    // Exceptions.
+
+    /// Where a new object goes: the node with the most credit left, by chance among equals.
+    fn place(&mut self, now: f64) -> BlockId {
+        let mut best = (f64::NEG_INFINITY, BlockId(0));
+        let blocks: Vec<BlockId> = self.posts.keys().copied().collect();
+        for block in blocks {
+            let cold = self.cold(now, block);
+            let lot = self.chance.generate::<f64>();
+            let post = &self.posts[&block];
+            let open = post.ready && now >= post.next_try;
+            let credit = if open { post.bound.floor() - post.out - post.held } else { -1e6 };
+            let credit = credit - if cold { MOST_OUT } else { 0.0 } + 0.5 * lot;
+            if credit > best.0 {
+                best = (credit, block);
+            }
+        }
+        self.post(best.1);
+        best.1
+    }
+
+    fn give_up(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
+        let Some(t) = self.transactions.get(&id) else { return };
+        let band = &self.set.bands[t.band.0];
+        let harmless = !t.shot_out
+            && (t.maybe_ran.is_none()
+                || band.repeat == Repeat::Repeatable
+                || (band.repeat == Repeat::Tagged && band.scope == Scope::All));
+        if harmless {
+            let advice = if self.set.advises_return { self.set.longest_return } else { 0.0 };
+            out.decline(id, advice);
+        } else {
+            out.scrap(id);
+        }
+        self.end(now, id, out);
+    }
+
+    fn end(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
+        let Some(t) = self.transactions.get(&id) else { return };
+        if t.state != State::Over {
+            self.shift(id, State::Over);
+        }
+        let t = &self.transactions[&id];
+        if t.shot_out {
+            return;
+        }
+        let extent = t.extent.clone();
+        self.transactions.remove(&id);
+        let Some((extent, turn)) = extent.and_then(|e| self.turns.get_mut(&e).map(|turn| (e, turn))) else {
+            return;
+        };
+        turn.line.retain(|waiting| *waiting != id);
+        match turn.line.front().map(|next| self.transactions[next].block) {
+            Some(block) => self.pump(now, block, out),
+            None if turn.quiet_until <= now => {
+                self.turns.remove(&extent);
+            }
+            None => {}
+        }
+    }
+
+    // Guards of the rules.
+
+    /// No effect twice, shots within their number and budget.
+    fn may_send(&mut self, now: f64, id: TransactionId) -> bool {
+        let t = &self.transactions[&id];
+        if t.shots == 0 {
+            return true;
+        }
+        let band = &self.set.bands[t.band.0];
+        let repeats = match (band.repeat, t.maybe_ran) {
+            (_, None) | (Repeat::Repeatable, _) => true,
+            (Repeat::OnceOnly, _) => false,
+            // The same block is the same cell, the smallest group there is.
+            (Repeat::Tagged, Some(sent_at)) => now < sent_at + band.window,
+        };
+        let budget = self
+            .set
+            .further
+            .is_none_or(|(share, free, _)| self.further.sum(now) + 1.0 <= free + share * self.taken.sum(now));
+        repeats && budget && !t.shot_out && t.shots < self.set.most_shots
+    }
+
+    /// When this transaction's key lets it be sent; `None` while an earlier one has the turn.
+    fn turn_wait(&self, now: f64, id: TransactionId) -> Option<f64> {
+        let t = &self.transactions[&id];
+        let turn = t.extent.as_ref().filter(|_| self.set.bands[t.band.0].ordered);
+        let Some(turn) = turn.and_then(|extent| self.turns.get(extent)) else { return Some(now) };
+        if turn.line.front() != Some(&id) {
+            return None;
+        }
+        Some(if t.shots > 0 { now } else { turn.quiet_until.max(now) })
+    }
+
+    /// Limits kept, cold nodes not pushed over; otherwise when to look again.
+    fn fits(&mut self, now: f64, id: TransactionId) -> Result<(), f64> {
+        let t = &self.transactions[&id];
+        let (units, block) = (t.units, t.block);
+        let volume = &self.volumes[&t.volume];
+        if let Some(plan) = volume.plan.map(|plan| &self.set.plans[plan.0]) {
+            if plan.limit > 0.0 && t.shots == 0 && volume.limit < units {
+                return Err(now + (units - volume.limit) * volume.hosts / plan.limit);
+            }
+        }
+        if self.cold(now, block) && self.young_left(now, block) < units {
+            return Err(now + 0.05);
+        }
+        Ok(())
+    }
+
+    fn cold(&self, now: f64, block: BlockId) -> bool {
+        self.set.overload_for > 0.0
+            && self.posts.get(&block).is_some_and(|post| {
+                post.started > 0.0 && now < post.started + self.set.cold_for + self.set.overload_for
+            })
+    }
+
+    /// What this initiator may still send a cold node within the rule's window: its even part of what the
+    /// node bears when it comes up, grown as evenly as the slowest node warms. Just after its own start it
+    /// knows nothing of what it sent before, so it counts the window as spent.
+    fn young_left(&mut self, now: f64, block: BlockId) -> f64 {
+        if now < self.started + self.set.overload_for {
+            return 0.0;
+        }
+        let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
+        let bears = self.set.young_units.max(self.set.mean_units) / self.set.initiators.max(1.0);
+        let overload_for = self.set.overload_for;
+        let post = self.post(block);
+        let age = (now - post.started - overload_for).clamp(0.0, warm);
+        bears * (1.0 + (1.0 / first - 1.0) * age / warm) - post.young.sum(now)
+    }
+
+    fn spread(&mut self) -> f64 {
+        0.75 + 0.5 * self.chance.generate::<f64>()
+    }
+
+    fn fresh_post(&self) -> Post {
+        let overload_for = self.set.overload_for.max(0.1);
+        Post {
+            node: None,
+            ready: false,
+            started: 0.0,
+            out: 0.0,
+            // The design's bound is one host's at a disk of its own; here all initiators share the node.
+            bound: (MOST_OUT / self.set.initiators.max(1.0)).max(1.0),
+            cut_at: 0.0,
+            misses: 0,
+            next_try: 0.0,
+            wake_at: 0.0,
+            last_done: 0.0,
+            recent: VecDeque::new(),
+            lines: BTreeMap::new(),
+            again: VecDeque::new(),
+            held: 0.0,
+            gaps: Ring::new(0.5, 6),
+            gap_estimates: Ring::new(0.5, 6),
+            delays: Ring::new(0.25, 8),
+            delay_estimates: Ring::new(0.25, 8),
+            strain: Ring::new(0.1, 5),
+            answers: Ring::new(0.1, 5),
+            young: Ring::new(overload_for / 8.0, 9),
+        }
+    }
+
+    fn post(&mut self, block: BlockId) -> &mut Post {
+        if !self.posts.contains_key(&block) {
+            let fresh = self.fresh_post();
+            self.posts.insert(block, fresh);
+        }
+        self.posts.get_mut(&block).unwrap()
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! quaypath: the decision core of a storage gateway. It knows no wire, clock or network of its own:
+//! events come in as calls on [`brain::Brain`], actions leave through [`types::Outbox`].
+
+pub mod brain;
+pub mod ring;
+pub mod types;
--- /dev/null
+++ b/src/ring.rs
@@ -0,0 +1,37 @@
+//! Measures over time: fixed buckets of time, used again in a ring.
+
+#[derive(Clone, Debug)]
+pub struct Ring {
+    width: f64,
+    epoch: i64,
+    buckets: Vec<f64>,
+}
+
+impl Ring {
+    pub fn new(width: f64, length: usize) -> Self {
+        Ring { width, epoch: i64::MIN / 2, buckets: vec![0.0; length.max(1)] }
+    }
+
+    fn turn(&mut self, now: f64) -> usize {
+        let epoch = (now / self.width).floor() as i64;
+        let length = self.buckets.len() as i64;
+        if epoch > self.epoch {
+            for stale in (self.epoch + 1).max(epoch - length + 1)..=epoch {
+                self.buckets[stale.rem_euclid(length) as usize] = 0.0;
+            }
+            self.epoch = epoch;
+        }
+        self.epoch.rem_euclid(length) as usize
+    }
+
+    pub fn add(&mut self, now: f64, amount: f64) {
+        let at = self.turn(now);
+        self.buckets[at] += amount;
+    }
+
+    /// The sum over the whole ring: between `length - 1` and `length` widths back.
+    pub fn sum(&mut self, now: f64) -> f64 {
+        self.turn(now);
+        self.buckets.iter().sum()
+    }
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,115 @@
+//! Ids, settings and the actions that the decision core can ask for.
+
+use std::sync::Arc;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TransactionId(pub u64);
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeId(pub Arc<str>);
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct VolumeId(pub Arc<str>);
+/// The piece of data that a transaction reads or writes; also what ordered bands take turns by.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ExtentId(pub Arc<str>);
+/// The part of the data that a node holds; a node that replaces it holds the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BlockId(pub i64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BandId(pub usize);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PlanId(pub usize);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Repeatable,
+    Tagged,
+    OnceOnly,
+}
+
+/// Which nodes drop a repeat of a tagged transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Settled,
+    Failed,
+    Full,
+    TimedOut,
+    Unreachable,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    Changes,
+    Whole,
+    Cached,
+    Failed,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    pub initiators: f64,
+    pub bands: Vec<Band>,
+    pub plans: Vec<Plan>,
+    pub mean_units: f64,
+    pub young_units: f64,
+    pub most_shots: u32,
+    pub advises_return: bool,
+    pub longest_return: f64,
+    pub must_ask: bool,
+    pub start_capacity: f64,
+    pub cold_for: f64,
+    pub overload_for: f64,
+    pub key_quiet: f64,
+    /// Share of the transactions taken, free shots, look-back; absent where no budget is stated.
+    pub further: Option<(f64, f64, f64)>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Band {
+    pub due: f64,
+    pub benefit: f64,
+    pub repeat: Repeat,
+    pub scope: Scope,
+    pub window: f64,
+    pub ordered: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub limit: f64,
+    pub burst: f64,
+    pub reservation: f64,
+    pub weight: f64,
+    pub factor: f64,
+}
+
+/// The actions, one method each. Times are seconds; `stop_at` is a clock time, 0 for the outer limit.
+pub trait Outbox {
+    fn send(&mut self, transaction: TransactionId, stop_at: f64, node: &NodeId);
+    fn cancel(&mut self, transaction: TransactionId, shot: u32);
+    fn decline(&mut self, transaction: TransactionId, come_back: f64);
+    fn scrap(&mut self, transaction: TransactionId);
+    fn set_timer(&mut self, after: f64, tag: u64);
+    fn subscribe(&mut self, on: bool);
+    fn fetch_list(&mut self);
+    fn probe(&mut self, node: &NodeId);
+    fn close(&mut self, node: &NodeId);
+    fn tell(&mut self, initiator: Option<u64>, payload: &[u8]);
+    fn log(&mut self, text: &str);
+}
