--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -213,10 +213,7 @@
 }
 
 fn batch<R: BufRead>(
-    lines: &mut Lines<R>,
-    instances: &mut BTreeMap<String, Instance>,
-    now: f64,
-    reply: &mut String,
+    lines: &mut Lines<R>, instances: &mut BTreeMap<String, Instance>, now: f64, reply: &mut String,
 ) -> Result<(), (u64, String)> {
     let mut initiator: Option<String> = None;
     let mut named = false;
@@ -287,12 +284,8 @@
 }
 
 fn event(
-    fields: &Fields,
-    entries: Vec<(NodeId, BlockId, Condition, f64)>,
-    name: &str,
-    instances: &mut BTreeMap<String, Instance>,
-    now: f64,
-    out: &mut Reply,
+    fields: &Fields, entries: Vec<(NodeId, BlockId, Condition, f64)>, name: &str,
+    instances: &mut BTreeMap<String, Instance>, now: f64, out: &mut Reply,
 ) -> Result<(), String> {
     match fields.name {
         "START" => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -140,10 +140,7 @@
     }
 
     pub fn list_known(
-        &mut self,
-        now: f64,
-        scope: ListScope,
-        entries: &[(NodeId, BlockId, Condition, f64)],
+        &mut self, now: f64, scope: ListScope, entries: &[(NodeId, BlockId, Condition, f64)],
         out: &mut impl Outbox,
     ) {
         if scope == ListScope::Failed {
@@ -184,17 +181,8 @@
 
     #[allow(clippy::too_many_arguments)]
     pub fn taken(
-        &mut self,
-        now: f64,
-        id: TransactionId,
-        hosts: f64,
-        plan: Option<PlanId>,
-        band: BandId,
-        extent: Option<ExtentId>,
-        budget: f64,
-        units: f64,
-        volume: VolumeId,
-        block: Option<BlockId>,
+        &mut self, now: f64, id: TransactionId, hosts: f64, plan: Option<PlanId>, band: BandId,
+        extent: Option<ExtentId>, budget: f64, units: f64, volume: VolumeId, block: Option<BlockId>,
         out: &mut impl Outbox,
     ) {
         self.taken.add(now, 1.0);
@@ -254,29 +242,14 @@
 
     /// No band that streams is known to the core; the outcome that follows ends the transaction.
     pub fn answer_began(
-        &mut self,
-        _now: f64,
-        _id: TransactionId,
-        _shot: u32,
-        _node: &NodeId,
-        _out: &mut impl Outbox,
+        &mut self, _now: f64, _id: TransactionId, _shot: u32, _node: &NodeId, _out: &mut impl Outbox,
     ) {
     }
 
     #[allow(clippy::too_many_arguments)]
     pub fn returned(
-        &mut self,
-        now: f64,
-        id: TransactionId,
-        node: &NodeId,
-        _shot: u32,
-        _used: f64,
-        delay: f64,
-        last: bool,
-        outcome: Outcome,
-        _others: f64,
-        _report: &[f64],
-        out: &mut impl Outbox,
+        &mut self, now: f64, id: TransactionId, node: &NodeId, _shot: u32, _used: f64, delay: f64,
+        last: bool, outcome: Outcome, _others: f64, _report: &[f64], out: &mut impl Outbox,
     ) {
         let Some(t) = self.transactions.get_mut(&id) else { return };
         t.shot_out = false;
@@ -296,7 +269,7 @@
         if over || last || outcome == Outcome::Settled {
             self.end(now, id, out);
         } else if self.may_send(now, id) && now < self.transactions[&id].give_up {
-            if self.transactions[&id].movable && never_ran {
+            if self.transactions[&id].movable && self.transactions[&id].maybe_ran.is_none() {
                 let place = self.place(now);
                 self.transactions.get_mut(&id).unwrap().block = place;
             }
@@ -334,12 +307,7 @@
     }
 
     pub fn probed(
-        &mut self,
-        _now: f64,
-        _node: &NodeId,
-        _outcome: Outcome,
-        _delay: f64,
-        _report: &[f64],
+        &mut self, _now: f64, _node: &NodeId, _outcome: Outcome, _delay: f64, _report: &[f64],
         _out: &mut impl Outbox,
     ) {
     }
