Keep work here, not at the node: lower bound target, no late repeats, shots run on

Cause: shots waited at the nodes behind other initiators' slack, and clients' repeats that were already past their due time took node time from work that could still be in time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,7 +22,7 @@
 const MOST_OUT: f64 = 20.0;
 /// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
 /// mechanism still has the choice.
-const NODE_PART: f64 = 0.35;
+const NODE_PART: f64 = 0.1;
 /// A single gap counts at most this often (and at least one part in this) of what the node's pace makes likely.
 const GAP_CLAMP: f64 = 3.0;
 
@@ -205,7 +205,7 @@
         let estimate = self.estimate(band, units);
         let late = due <= now;
         let sojourn = self.sojourn(now, block, estimate);
-        let give_up = if late { now + 0.5 * budget } else { (due - sojourn).max(0.75 * now + 0.25 * due) };
+        let give_up = if late { now } else { (due - sojourn).max(0.75 * now + 0.25 * due) };
         if self.set.bands[band.0].ordered {
             if let Some(extent) = &extent {
                 self.turns.entry(extent.clone()).or_default().line.push_back(id);
@@ -505,7 +505,7 @@
         post.out += 1.0;
         post.young.add(now, units);
         t.shots += 1;
-        let stop_at = t.outer.min(t.due.max(now) + self.set.bands[band.0].due);
+        let stop_at = t.outer;
         let name = t.volume.clone();
         if let Some(node) = &post.node {
             out.send(id, stop_at, node);
