Leave one shot above the bound to the reserves

Cause: with the bound near one shot, slack sent a moment before made a covered reserve wait a whole service time. Covered transactions may now use one shot more.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,6 +22,8 @@
 const MOST_OUT: f64 = 20.0;
 /// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
 /// mechanism still has the choice.
+/// Shots beyond the bound that only the reserves may use, so that slack sent before does not delay them.
+const HEADROOM: f64 = 1.0;
 const NODE_PART: f64 = 0.1;
 /// A single gap counts at most this often (and at least one part in this) of what the node's pace makes likely.
 const GAP_CLAMP: f64 = 3.0;
@@ -366,12 +368,13 @@
     fn pump(&mut self, now: f64, block: BlockId, out: &mut impl Outbox) {
         loop {
             let post = self.post(block);
-            if !post.ready || post.held == 0.0 || post.out >= post.bound.floor() {
+            if !post.ready || post.held == 0.0 || post.out >= post.bound.floor() + HEADROOM {
                 return;
             }
+            let reserve_only = post.out >= post.bound.floor();
             let mut wake = post.next_try;
             if now >= post.next_try {
-                match self.pick(now, block) {
+                match self.pick(now, block, reserve_only) {
                     Ok(id) => {
                         self.send(now, id, out);
                         continue;
@@ -391,7 +394,7 @@
     }
 
     /// The next transaction for this node, or when to look again.
-    fn pick(&mut self, now: f64, block: BlockId) -> Result<TransactionId, f64> {
+    fn pick(&mut self, now: f64, block: BlockId, reserve_only: bool) -> Result<TransactionId, f64> {
         let mut look_again = f64::INFINITY;
         let mut best: Option<((u8, f64), TransactionId)> = None;
         let cold = self.cold(now, block);
@@ -422,6 +425,9 @@
             } else {
                 self.rank(now, &name, t.estimate)
             };
+            if reserve_only && rank.0 > 0 {
+                continue;
+            }
             if best.as_ref().is_none_or(|(known, _)| rank < *known) {
                 best = Some((rank, id));
             }
@@ -429,6 +435,9 @@
         if let Some((_, id)) = best {
             return Ok(id);
         }
+        if reserve_only {
+            return Err(look_again);
+        }
         let again: Vec<TransactionId> = self.posts[&block].again.iter().copied().collect();
         for id in again {
             let volume = self.transactions[&id].volume.clone();
