Let a cold node's own answers widen its budget; estimate from units alone

Now units that the node itself settled within the rule's window count half the rule's multiple on top: service cannot exceed present capacity, so half of the allowance rests on proof. It could harm where a node answers without doing the work.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,6 +24,8 @@
 /// mechanism still has the choice.
 /// Shots beyond the bound that only the reserves may use, so that slack sent before does not delay them.
 const HEADROOM: f64 = 1.0;
+/// Part of the rule's multiple that a cold node's own answers may use up; the rest stays for chance.
+const PROOF: f64 = 0.5;
 const NODE_PART: f64 = 0.1;
 /// A single gap counts at most this often (and at least one part in this) of what the node's pace makes likely.
 const GAP_CLAMP: f64 = 3.0;
@@ -84,6 +86,7 @@
     strain: Ring,
     answers: Ring,
     young: Ring,
+    proved: Ring,
 }
 
 struct Volume {
@@ -113,6 +116,8 @@
     taken: Ring,
     further: Ring,
     failed_calls: i32,
+    /// Estimated node time of one random unit; units already tell a large transaction from a small one.
+    unit_time: f64,
 }
 
 const TAG_GIVE_UP: u64 = 0;
@@ -124,6 +129,7 @@
         if set.must_ask {
             out.subscribe(true);
         }
+        let shortest = set.bands.iter().map(|band| band.due).fold(f64::INFINITY, f64::min);
         let look_back = set.further.map_or(1.0, |(_, _, look_back)| look_back);
         Brain {
             chance: WyRand::new_seed(seed),
@@ -137,6 +143,7 @@
             taken: Ring::new(look_back / 50.0, 50),
             further: Ring::new(look_back / 50.0, 52),
             failed_calls: 0,
+            unit_time: shortest.min(1e3) * RANDOM_PART / set.mean_units.max(1.0),
             set,
         }
     }
@@ -204,7 +211,7 @@
         let due = now + (self.set.bands[band.0].due - spent).min(budget);
         let movable = block.is_none();
         let block = block.unwrap_or_else(|| self.place(now));
-        let estimate = self.estimate(band, units);
+        let estimate = units * self.unit_time;
         let late = due <= now;
         let sojourn = self.sojourn(now, block, estimate);
         let give_up = if late { now } else { (due - sojourn).max(0.75 * now + 0.25 * due) };
@@ -350,10 +357,6 @@
 
     // The ordinary path.
 
-    fn estimate(&self, band: BandId, units: f64) -> f64 {
-        self.set.bands[band.0].due * RANDOM_PART * units / self.set.mean_units.max(1.0)
-    }
-
     /// How long a shot of this estimate is likely to spend at the node, by the last answers there.
     fn sojourn(&mut self, now: f64, block: BlockId, estimate: f64) -> f64 {
         let post = self.post(block);
@@ -471,8 +474,7 @@
     fn reserve_share(&self, name: &VolumeId) -> f64 {
         let volume = &self.volumes[name];
         let reservation = volume.plan.map_or(0.0, |plan| self.set.plans[plan.0].reservation);
-        let unit = self.set.bands.iter().map(|band| band.due).fold(f64::INFINITY, f64::min) * RANDOM_PART;
-        reservation / volume.hosts * unit / self.set.mean_units.max(1.0)
+        reservation / volume.hosts * self.unit_time
     }
 
     fn fill(&mut self, now: f64, name: &VolumeId) {
@@ -496,8 +498,8 @@
 
     fn send(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
         self.shift(id, State::Out);
-        let (band, units) = (self.transactions[&id].band, self.transactions[&id].units);
-        let mut estimate = self.estimate(band, units);
+        let units = self.transactions[&id].units;
+        let mut estimate = units * self.unit_time;
         let t = self.transactions.get_mut(&id).unwrap();
         let post = self.posts.get_mut(&t.block).unwrap();
         if let Some(extent) = &t.extent {
@@ -530,7 +532,7 @@
     /// What an outcome tells of its node: the gap corrects the volume's account, the delay moves the bound.
     fn account(&mut self, now: f64, id: TransactionId, delay: f64, outcome: Outcome) {
         let t = &self.transactions[&id];
-        let (estimate, block, name) = (t.estimate, t.block, t.volume.clone());
+        let (estimate, units, block, name) = (t.estimate, t.units, t.block, t.volume.clone());
         let (due, was_idle) = (self.set.bands[t.band.0].due, t.was_idle);
         let spread = self.spread();
         let post = self.post(block);
@@ -540,6 +542,7 @@
                 let gap = if was_idle { delay } else { (now - post.last_done).max(0.0) };
                 post.last_done = now;
                 post.misses = 0;
+                post.proved.add(now, units);
                 post.gaps.add(now, gap);
                 post.gap_estimates.add(now, estimate);
                 post.delays.add(now, delay);
@@ -705,10 +708,11 @@
         }
         let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
         let bears = self.set.young_units.max(self.set.mean_units) / self.set.initiators.max(1.0);
-        let overload_for = self.set.overload_for;
+        let (overload_for, multiple) = (self.set.overload_for, self.set.fall_multiple);
         let post = self.post(block);
         let age = (now - post.started - overload_for).clamp(0.0, warm);
-        bears * (1.0 + (1.0 / first - 1.0) * age / warm) - post.young.sum(now)
+        let even = bears * (1.0 + (1.0 / first - 1.0) * age / warm);
+        even + PROOF * multiple * post.proved.sum(now) - post.young.sum(now)
     }
 
     fn spread(&mut self) -> f64 {
@@ -740,6 +744,7 @@
             strain: Ring::new(0.1, 5),
             answers: Ring::new(0.1, 5),
             young: Ring::new(overload_for / 8.0, 9),
+            proved: Ring::new(overload_for / 8.0, 8),
         }
     }
 
