--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,6 +6,8 @@
 //! Reading order: tuning values, states, events, ordinary path (pick, send, account), exceptions (health,
 //! cold nodes, late and further shots), guards of the rules.
 
+#![allow(clippy::too_many_arguments)] // events come as plain arguments
+
 use std::collections::{BTreeMap, VecDeque};
 
 use nanorand::{Rng, WyRand};
@@ -44,7 +46,6 @@
 struct Transaction {
     state: State,
     band: BandId,
-    plan: Option<PlanId>,
     volume: VolumeId,
     extent: Option<ExtentId>,
     units: f64,
@@ -79,19 +80,18 @@
     lines: BTreeMap<VolumeId, VecDeque<TransactionId>>,
     again: VecDeque<TransactionId>,
     held: f64,
+    /// Completion gaps and delays, each against its estimate; delays against their due times.
     gaps: Ring,
-    gap_estimates: Ring,
     delays: Ring,
-    delay_estimates: Ring,
     strain: Ring,
-    answers: Ring,
+    /// Units sent to it and units it settled, over the window of the rule on cold nodes.
     young: Ring,
     proved: Ring,
 }
 
 struct Volume {
     plan: Option<PlanId>,
-    hosts: f64,
+    initiators: f64,
     reserve: f64,
     limit: f64,
     filled_at: f64,
@@ -159,9 +159,7 @@
             let wait = 0.5 * f64::from(1 << self.failed_calls.min(3)) * self.spread();
             return out.set_timer(wait, TAG_ASK);
         }
-        if scope != ListScope::Cached {
-            self.failed_calls = 0;
-        }
+        self.failed_calls = 0;
         if scope != ListScope::Changes {
             for post in self.posts.values_mut() {
                 post.ready &= entries.iter().any(|(node, ..)| Some(node) == post.node.as_ref());
@@ -170,9 +168,7 @@
         for (node, block, condition, started) in entries {
             let ours = self.posts.get(block).is_some_and(|post| post.node.as_ref() == Some(node));
             if *condition != Condition::Ready {
-                if ours {
-                    self.post(*block).ready = false;
-                }
+                self.post(*block).ready &= !ours;
                 continue;
             }
             let fresh = self.fresh_post();
@@ -188,16 +184,15 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn taken(
-        &mut self, now: f64, id: TransactionId, hosts: f64, plan: Option<PlanId>, band: BandId,
+        &mut self, now: f64, id: TransactionId, initiators: f64, plan: Option<PlanId>, band: BandId,
         extent: Option<ExtentId>, budget: f64, units: f64, volume: VolumeId, block: Option<BlockId>,
         out: &mut impl Outbox,
     ) {
-        self.taken.add(now, 1.0);
+        self.taken.add(now, 1.0, 1.0);
         self.volumes.entry(volume.clone()).or_insert_with(|| Volume {
             plan,
-            hosts: hosts.max(1.0),
+            initiators: initiators.max(1.0),
             reserve: 0.0,
             // Empty, not full: a restart must not hand out a second burst, and a first start looks the same.
             limit: 0.0,
@@ -225,7 +220,6 @@
             Transaction {
                 state: State::Over,
                 band,
-                plan,
                 volume,
                 extent,
                 units,
@@ -244,18 +238,19 @@
         );
         self.shift(id, if late { State::Again } else { State::Waiting });
         self.pump(now, block, out);
-        if self.transactions[&id].state != State::Out {
-            out.set_timer(give_up - now, id.0 << 2 | TAG_GIVE_UP);
+        match self.transactions[&id].state {
+            State::Waiting => out.set_timer(give_up - now, id.0 << 2 | TAG_GIVE_UP),
+            // Late already: it had its chance at credit that nothing in time wanted.
+            State::Again => self.give_up(now, id, out),
+            State::Out | State::Over => {}
         }
     }
 
-    /// No band that streams is known to the core; the outcome that follows ends the transaction.
-    pub fn answer_began(
-        &mut self, _now: f64, _id: TransactionId, _shot: u32, _node: &NodeId, _out: &mut impl Outbox,
-    ) {
-    }
+    // Nothing is decided on these yet: no band streams, nodes are not probed, initiators do not talk.
+    pub fn answer_began(&mut self, _: f64, _: TransactionId, _: u32, _: &NodeId, _: &mut impl Outbox) {}
+    pub fn probed(&mut self, _: f64, _: &NodeId, _: Outcome, _: f64, _: &[f64], _: &mut impl Outbox) {}
+    pub fn told(&mut self, _: f64, _: u64, _: &[u8], _: &mut impl Outbox) {}
 
-    #[allow(clippy::too_many_arguments)]
     pub fn returned(
         &mut self, now: f64, id: TransactionId, node: &NodeId, _shot: u32, _used: f64, delay: f64,
         last: bool, outcome: Outcome, _others: f64, _report: &[f64], out: &mut impl Outbox,
@@ -278,15 +273,15 @@
         if over || last || outcome == Outcome::Settled {
             self.end(now, id, out);
         } else if self.may_send(now, id) && now < self.transactions[&id].give_up {
-            if self.transactions[&id].movable && self.transactions[&id].maybe_ran.is_none() {
-                let place = self.place(now);
-                self.transactions.get_mut(&id).unwrap().block = place;
+            let place = self.place(now);
+            let t = self.transactions.get_mut(&id).unwrap();
+            if t.movable && t.maybe_ran.is_none() {
+                t.block = place;
             }
-            self.shift(id, State::Again);
-            let t = &self.transactions[&id];
             out.set_timer(t.give_up - now, id.0 << 2 | TAG_GIVE_UP);
-            let moved = t.block;
-            self.pump(now, moved, out);
+            let block = t.block;
+            self.shift(id, State::Again);
+            self.pump(now, block, out);
         } else {
             self.give_up(now, id, out);
         }
@@ -315,14 +310,6 @@
         }
     }
 
-    pub fn probed(
-        &mut self, _now: f64, _node: &NodeId, _outcome: Outcome, _delay: f64, _report: &[f64],
-        _out: &mut impl Outbox,
-    ) {
-    }
-
-    pub fn told(&mut self, _now: f64, _initiator: u64, _payload: &[u8], _out: &mut impl Outbox) {}
-
     /// Every change of a transaction's state, with the line it leaves and the line it joins.
     fn shift(&mut self, id: TransactionId, to: State) {
         let t = self.transactions.get_mut(&id).unwrap();
@@ -359,13 +346,7 @@
 
     /// How long a shot of this estimate is likely to spend at the node, by the last answers there.
     fn sojourn(&mut self, now: f64, block: BlockId, estimate: f64) -> f64 {
-        let post = self.post(block);
-        let seen = post.delay_estimates.sum(now);
-        if seen > 0.0 {
-            estimate * post.delays.sum(now) / seen
-        } else {
-            estimate
-        }
+        estimate * self.post(block).delays.mean(now, 1.0)
     }
 
     fn pump(&mut self, now: f64, block: BlockId, out: &mut impl Outbox) {
@@ -420,11 +401,8 @@
             }
             let t = &self.transactions[&id];
             let rank = if cold {
-                (
-                    0,
-                    -self.set.bands[t.band.0].benefit
-                        * t.plan.map_or(1.0, |plan| self.set.plans[plan.0].factor),
-                )
+                let factor = self.plan(&name).map_or(1.0, |plan| plan.factor);
+                (0, -self.set.bands[t.band.0].benefit * factor)
             } else {
                 self.rank(now, &name, t.estimate)
             };
@@ -459,8 +437,8 @@
     /// volume with the least charged time of the last few seconds for its weight.
     fn rank(&mut self, now: f64, name: &VolumeId, estimate: f64) -> (u8, f64) {
         let share = self.reserve_share(name);
+        let weight = self.plan(name).map_or(1.0, |plan| plan.weight).max(0.01);
         let volume = self.volumes.get_mut(name).unwrap();
-        let weight = volume.plan.map_or(1.0, |plan| self.set.plans[plan.0].weight).max(0.01);
         // The bucket never holds more than a second's share, so a full one covers any estimate.
         let wait = (estimate.min(share) - volume.reserve) / share.max(1e-9);
         if share > 0.0 && wait <= 0.0 {
@@ -472,9 +450,12 @@
 
     /// This initiator's part of the volume's reservation, in node time a second.
     fn reserve_share(&self, name: &VolumeId) -> f64 {
-        let volume = &self.volumes[name];
-        let reservation = volume.plan.map_or(0.0, |plan| self.set.plans[plan.0].reservation);
-        reservation / volume.hosts * self.unit_time
+        let reservation = self.plan(name).map_or(0.0, |plan| plan.reservation);
+        reservation / self.volumes[name].initiators * self.unit_time
+    }
+
+    fn plan(&self, name: &VolumeId) -> Option<&Plan> {
+        self.volumes[name].plan.map(|plan| &self.set.plans[plan.0])
     }
 
     fn fill(&mut self, now: f64, name: &VolumeId) {
@@ -484,7 +465,8 @@
         volume.filled_at = now;
         volume.reserve = (volume.reserve + share * past).min(share);
         if let Some(plan) = volume.plan.map(|plan| &self.set.plans[plan.0]) {
-            volume.limit = (volume.limit + plan.limit / volume.hosts * past).min(plan.burst / volume.hosts);
+            volume.limit =
+                (volume.limit + plan.limit / volume.initiators * past).min(plan.burst / volume.initiators);
         }
     }
 
@@ -493,7 +475,7 @@
         let share = self.reserve_share(name);
         let volume = self.volumes.get_mut(name).unwrap();
         volume.reserve = (volume.reserve - time).clamp(-share, share);
-        volume.usage.add(now, time);
+        volume.usage.add(now, time, 1.0);
     }
 
     fn send(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
@@ -514,7 +496,7 @@
         }
         (t.estimate, t.sent_at, t.was_idle, t.shot_out) = (estimate, now, post.out == 0.0, true);
         post.out += 1.0;
-        post.young.add(now, units);
+        post.young.add(now, units, 1.0);
         t.shots += 1;
         let stop_at = t.outer;
         let name = t.volume.clone();
@@ -522,7 +504,7 @@
             out.send(id, stop_at, node);
         }
         if t.shots > 1 {
-            self.further.add(now, 1.0);
+            self.further.add(now, 1.0, 1.0);
         } else {
             self.volumes.get_mut(&name).unwrap().limit -= units;
         }
@@ -542,15 +524,11 @@
                 let gap = if was_idle { delay } else { (now - post.last_done).max(0.0) };
                 post.last_done = now;
                 post.misses = 0;
-                post.proved.add(now, units);
-                post.gaps.add(now, gap);
-                post.gap_estimates.add(now, estimate);
-                post.delays.add(now, delay);
-                post.delay_estimates.add(now, estimate);
-                post.strain.add(now, delay / due);
-                post.answers.add(now, 1.0);
-                let strain = post.strain.sum(now) / post.answers.sum(now).max(1.0);
-                if strain > NODE_PART {
+                post.proved.add(now, units, 1.0);
+                post.gaps.add(now, gap, estimate);
+                post.delays.add(now, delay, estimate);
+                post.strain.add(now, delay / due, 1.0);
+                if post.strain.mean(now, 0.0) > NODE_PART {
                     if now >= post.cut_at {
                         post.bound = (post.bound * 0.8).max(1.0);
                         post.cut_at = now + 0.2;
@@ -560,8 +538,7 @@
                 }
                 // Against a slow or shared node: its gaps are long for all alike, so a gap is read against
                 // the node's own pace, and a pause that lands on one completion is clamped.
-                let pace = post.gaps.sum(now) / post.gap_estimates.sum(now).max(1e-9);
-                let likely = (estimate * pace).max(1e-9);
+                let likely = (estimate * post.gaps.mean(now, 1.0)).max(1e-9);
                 let measured = estimate * (gap / likely).clamp(1.0 / GAP_CLAMP, GAP_CLAMP);
                 self.charge(now, &name, measured - estimate);
             }
@@ -680,11 +657,9 @@
     fn fits(&mut self, now: f64, id: TransactionId) -> Result<(), f64> {
         let t = &self.transactions[&id];
         let (units, block) = (t.units, t.block);
-        let volume = &self.volumes[&t.volume];
-        if let Some(plan) = volume.plan.map(|plan| &self.set.plans[plan.0]) {
-            if plan.limit > 0.0 && t.shots == 0 && volume.limit < units {
-                return Err(now + (units - volume.limit) * volume.hosts / plan.limit);
-            }
+        let (volume, limit) = (&self.volumes[&t.volume], self.plan(&t.volume).map_or(0.0, |plan| plan.limit));
+        if limit > 0.0 && t.shots == 0 && volume.limit < units {
+            return Err(now + (units - volume.limit) * volume.initiators / limit);
         }
         if self.cold(now, block) && self.young_left(now, block) < units {
             return Err(now + 0.05);
@@ -738,11 +713,8 @@
             again: VecDeque::new(),
             held: 0.0,
             gaps: Ring::new(0.5, 6),
-            gap_estimates: Ring::new(0.5, 6),
             delays: Ring::new(0.25, 8),
-            delay_estimates: Ring::new(0.25, 8),
             strain: Ring::new(0.1, 5),
-            answers: Ring::new(0.1, 5),
             young: Ring::new(overload_for / 8.0, 9),
             proved: Ring::new(overload_for / 8.0, 8),
         }
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -4,12 +4,13 @@
 pub struct Ring {
     width: f64,
     epoch: i64,
-    buckets: Vec<f64>,
+    /// For each bucket what was added, and the weight it was added with.
+    buckets: Vec<(f64, f64)>,
 }
 
 impl Ring {
     pub fn new(width: f64, length: usize) -> Self {
-        Ring { width, epoch: i64::MIN / 2, buckets: vec![0.0; length.max(1)] }
+        Ring { width, epoch: i64::MIN / 2, buckets: vec![(0.0, 0.0); length.max(1)] }
     }
 
     fn turn(&mut self, now: f64) -> usize {
@@ -17,21 +18,33 @@
         let length = self.buckets.len() as i64;
         if epoch > self.epoch {
             for stale in (self.epoch + 1).max(epoch - length + 1)..=epoch {
-                self.buckets[stale.rem_euclid(length) as usize] = 0.0;
+                self.buckets[stale.rem_euclid(length) as usize] = (0.0, 0.0);
             }
             self.epoch = epoch;
         }
         self.epoch.rem_euclid(length) as usize
     }
 
-    pub fn add(&mut self, now: f64, amount: f64) {
+    pub fn add(&mut self, now: f64, amount: f64, weight: f64) {
         let at = self.turn(now);
-        self.buckets[at] += amount;
+        self.buckets[at].0 += amount;
+        self.buckets[at].1 += weight;
     }
 
-    /// The sum over the whole ring: between `length - 1` and `length` widths back.
+    /// What was added over the whole ring: between `length - 1` and `length` widths back.
     pub fn sum(&mut self, now: f64) -> f64 {
         self.turn(now);
-        self.buckets.iter().sum()
+        self.buckets.iter().map(|bucket| bucket.0).sum()
+    }
+
+    /// The sum over the weights, or `empty` where nothing was weighed.
+    pub fn mean(&mut self, now: f64, empty: f64) -> f64 {
+        let amount = self.sum(now);
+        let weight: f64 = self.buckets.iter().map(|bucket| bucket.1).sum();
+        if weight > 0.0 {
+            amount / weight
+        } else {
+            empty
+        }
     }
 }
