--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,6 +29,8 @@
 /// Part of the rule's multiple that a cold node's own answers may use up; the rest stays for chance.
 const PROOF: f64 = 0.5;
 const NODE_PART: f64 = 0.1;
+/// Transactions of one line that are looked at when those before them may not be sent yet.
+const LOOK_AHEAD: usize = 16;
 /// A single gap counts at most this often (and at least one part in this) of what the node's pace makes likely.
 const GAP_CLAMP: f64 = 3.0;
 
@@ -208,7 +210,8 @@
         let block = block.unwrap_or_else(|| self.place(now));
         let estimate = units * self.unit_time;
         let late = due <= now;
-        let sojourn = self.sojourn(now, block, estimate);
+        // Given up while the stay at the node, as its last answers were, would still fit.
+        let sojourn = estimate * self.post(block).delays.mean(now, 1.0);
         let give_up = if late { now } else { (due - sojourn).max(0.75 * now + 0.25 * due) };
         if self.set.bands[band.0].ordered {
             if let Some(extent) = &extent {
@@ -344,11 +347,6 @@
 
     // The ordinary path.
 
-    /// How long a shot of this estimate is likely to spend at the node, by the last answers there.
-    fn sojourn(&mut self, now: f64, block: BlockId, estimate: f64) -> f64 {
-        estimate * self.post(block).delays.mean(now, 1.0)
-    }
-
     fn pump(&mut self, now: f64, block: BlockId, out: &mut impl Outbox) {
         loop {
             let post = self.post(block);
@@ -379,58 +377,44 @@
 
     /// The next transaction for this node, or when to look again.
     fn pick(&mut self, now: f64, block: BlockId, reserve_only: bool) -> Result<TransactionId, f64> {
-        let mut look_again = f64::INFINITY;
-        let mut best: Option<((u8, f64), TransactionId)> = None;
+        let (mut look_again, mut best) = (f64::INFINITY, None);
         let cold = self.cold(now, block);
-        let lines: Vec<VolumeId> = self.posts[&block].lines.keys().cloned().collect();
-        for name in lines {
+        let post = &self.posts[&block];
+        let heads = |line: &VecDeque<TransactionId>| line.iter().copied().take(LOOK_AHEAD).collect();
+        let lines: Vec<(VolumeId, Vec<_>)> =
+            post.lines.iter().map(|(name, line)| (name.clone(), heads(line))).collect();
+        let again: Vec<_> = heads(&post.again);
+        for (name, line) in lines {
             self.fill(now, &name);
-            let line = &self.posts[&block].lines[&name];
-            let Some(id) = line.iter().copied().find(|id| match self.turn_wait(now, *id) {
-                Some(at) => {
-                    look_again = look_again.min(at);
-                    at <= now
-                }
-                None => false,
-            }) else {
-                continue;
-            };
-            if let Err(at) = self.fits(now, id) {
+            let mut ready = |id: &TransactionId| {
+                let at = self.ready_at(now, *id);
                 look_again = look_again.min(at);
-                continue;
-            }
-            let t = &self.transactions[&id];
+                at <= now
+            };
+            let Some(id) = line.into_iter().find(&mut ready) else { continue };
             let rank = if cold {
                 let factor = self.plan(&name).map_or(1.0, |plan| plan.factor);
-                (0, -self.set.bands[t.band.0].benefit * factor)
+                (0, -self.set.bands[self.transactions[&id].band.0].benefit * factor)
             } else {
-                self.rank(now, &name, t.estimate)
+                self.rank(now, &name, self.transactions[&id].estimate)
             };
-            if reserve_only && rank.0 > 0 {
-                continue;
-            }
-            if best.as_ref().is_none_or(|(known, _)| rank < *known) {
+            if (rank.0 == 0 || !reserve_only) && best.is_none_or(|(known, _)| rank < known) {
                 best = Some((rank, id));
             }
         }
-        if let Some((_, id)) = best {
-            return Ok(id);
-        }
-        if reserve_only {
-            return Err(look_again);
-        }
-        let again: Vec<TransactionId> = self.posts[&block].again.iter().copied().collect();
         for id in again {
+            if best.is_some() || reserve_only {
+                break;
+            }
             let volume = self.transactions[&id].volume.clone();
             self.fill(now, &volume);
-            match (self.turn_wait(now, id), self.fits(now, id)) {
-                (Some(at), Ok(())) if at <= now && self.may_send(now, id) => return Ok(id),
-                (Some(at), Ok(())) => look_again = look_again.min(at.max(now + 0.02)),
-                (Some(_), Err(at)) => look_again = look_again.min(at),
-                (None, _) => {}
+            let at = self.ready_at(now, id);
+            if at <= now && self.may_send(now, id) {
+                return Ok(id);
             }
+            look_again = look_again.min(at.max(now + 0.02));
         }
-        Err(look_again)
+        best.map(|(_, id)| id).ok_or(look_again)
     }
 
     /// Reserve first, by the time at which the bucket covers (or covered) the estimate; then slack, to the
@@ -642,29 +626,28 @@
         repeats && budget && !t.shot_out && t.shots < self.set.most_shots
     }
 
-    /// When this transaction's key lets it be sent; `None` while an earlier one has the turn.
-    fn turn_wait(&self, now: f64, id: TransactionId) -> Option<f64> {
+    /// Key order, limits, cold nodes: when this transaction may be sent, infinity while that is open.
+    fn ready_at(&mut self, now: f64, id: TransactionId) -> f64 {
         let t = &self.transactions[&id];
+        let (units, block, first) = (t.units, t.block, t.shots == 0);
         let turn = t.extent.as_ref().filter(|_| self.set.bands[t.band.0].ordered);
-        let Some(turn) = turn.and_then(|extent| self.turns.get(extent)) else { return Some(now) };
-        if turn.line.front() != Some(&id) {
-            return None;
+        if let Some(turn) = turn.and_then(|extent| self.turns.get(extent)) {
+            if turn.line.front() != Some(&id) {
+                return f64::INFINITY;
+            }
+            // The one that has the turn may be tried again without the rest.
+            if first && now < turn.quiet_until {
+                return turn.quiet_until;
+            }
         }
-        Some(if t.shots > 0 { now } else { turn.quiet_until.max(now) })
-    }
-
-    /// Limits kept, cold nodes not pushed over; otherwise when to look again.
-    fn fits(&mut self, now: f64, id: TransactionId) -> Result<(), f64> {
-        let t = &self.transactions[&id];
-        let (units, block) = (t.units, t.block);
         let (volume, limit) = (&self.volumes[&t.volume], self.plan(&t.volume).map_or(0.0, |plan| plan.limit));
-        if limit > 0.0 && t.shots == 0 && volume.limit < units {
-            return Err(now + (units - volume.limit) * volume.initiators / limit);
+        if limit > 0.0 && first && volume.limit < units {
+            return now + (units - volume.limit) * volume.initiators / limit;
         }
         if self.cold(now, block) && self.young_left(now, block) < units {
-            return Err(now + 0.05);
+            return now + 0.05;
         }
-        Ok(())
+        now
     }
 
     fn cold(&self, now: f64, block: BlockId) -> bool {
