Space slack at a node where even one shot from each initiator is a queue

Past a mean stay of 0.6 due times the bound now falls below one and spaces slack; covered reserves still pass. It could harm a node whose work is long against the due time although nobody waits there.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,14 +24,19 @@
 const MOST_OUT: f64 = 20.0;
 /// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
 /// mechanism still has the choice.
+/// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
+/// mechanism still has the choice. Past the second figure most answers would come too late: many initiators
+/// share the node, so that even one shot each is a queue, and slack is spaced, down to the least bound.
+const NODE_PART: f64 = 0.1;
+const JAM_PART: f64 = 0.6;
+const LEAST: f64 = 0.2;
 /// Shots beyond the bound that only the reserves may use, so that slack sent before does not delay them.
 const HEADROOM: f64 = 1.0;
 /// Part of the rule's multiple that a cold node's own answers may use up; the rest stays for chance.
 const PROOF: f64 = 0.5;
-const NODE_PART: f64 = 0.1;
 /// Transactions of one line that are looked at when those before them may not be sent yet.
 const LOOK_AHEAD: usize = 16;
-/// A single gap counts at most this often (and at least one part in this) of what the node's pace makes likely.
+/// A single gap counts at most this many times what the node's pace makes likely, and at least one part of it.
 const GAP_CLAMP: f64 = 3.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +81,7 @@
     cut_at: f64,
     misses: i32,
     next_try: f64,
+    paced_until: f64,
     wake_at: f64,
     last_done: f64,
     recent: VecDeque<ExtentId>,
@@ -141,7 +147,7 @@
             volumes: BTreeMap::new(),
             turns: BTreeMap::new(),
             longest: vec![0.0; set.bands.len()],
-            // The one ring forgets a little early and the other a little late, so that neither helps the budget.
+            // One ring forgets a little early, the other a little late, so that neither helps the budget.
             taken: Ring::new(look_back / 50.0, 50),
             further: Ring::new(look_back / 50.0, 52),
             failed_calls: 0,
@@ -353,7 +359,8 @@
             if !post.ready || post.held == 0.0 || post.out >= post.bound.floor() + HEADROOM {
                 return;
             }
-            let reserve_only = post.out >= post.bound.floor();
+            let pace_end = if post.bound < 1.0 { post.paced_until } else { 0.0 };
+            let reserve_only = post.out >= post.bound.floor().max(1.0) || now < pace_end;
             let mut wake = post.next_try;
             if now >= post.next_try {
                 match self.pick(now, block, reserve_only) {
@@ -361,15 +368,14 @@
                         self.send(now, id, out);
                         continue;
                     }
-                    Err(at) => wake = at,
+                    Err(at) => wake = if now < pace_end { at.min(pace_end) } else { at },
                 }
             }
             let post = self.post(block);
             if wake > now && wake < f64::INFINITY && post.wake_at <= now {
                 // One timer stands for all that waits here for time to pass, at most one each 10 ms.
                 post.wake_at = wake.max(now + 0.01);
-                let tag = (block.0 as u64) << 2 | TAG_WAKE;
-                out.set_timer(wake.max(now + 0.01) - now, tag);
+                out.set_timer(post.wake_at - now, (block.0 as u64) << 2 | TAG_WAKE);
             }
             return;
         }
@@ -473,20 +479,17 @@
                 estimate *= RUN_PART;
             }
             post.recent.retain(|known| known != extent);
-            post.recent.push_back(extent.clone());
-            if post.recent.len() > RECENT {
-                post.recent.pop_front();
-            }
+            post.recent.push_front(extent.clone());
+            post.recent.truncate(RECENT);
         }
         (t.estimate, t.sent_at, t.was_idle, t.shot_out) = (estimate, now, post.out == 0.0, true);
         post.out += 1.0;
+        post.paced_until = now + estimate * post.delays.mean(now, 1.0) / post.bound;
         post.young.add(now, units, 1.0);
         t.shots += 1;
-        let stop_at = t.outer;
         let name = t.volume.clone();
-        if let Some(node) = &post.node {
-            out.send(id, stop_at, node);
-        }
+        // Until the outer limit: a node may go on with what is timed out, and only the answer is lost.
+        post.node.iter().for_each(|node| out.send(id, t.outer, node));
         if t.shots > 1 {
             self.further.add(now, 1.0, 1.0);
         } else {
@@ -512,12 +515,16 @@
                 post.gaps.add(now, gap, estimate);
                 post.delays.add(now, delay, estimate);
                 post.strain.add(now, delay / due, 1.0);
-                if post.strain.mean(now, 0.0) > NODE_PART {
+                let strain = post.strain.mean(now, 0.0);
+                let (part, least) = if post.bound > 1.0 { (NODE_PART, 1.0) } else { (JAM_PART, LEAST) };
+                if strain > part {
                     if now >= post.cut_at {
-                        post.bound = (post.bound * 0.8).max(1.0);
+                        post.bound = (post.bound * 0.8).max(least);
                         post.cut_at = now + 0.2;
                     }
-                } else if post.out + 1.0 >= post.bound.floor() {
+                } else if post.bound < 1.0 {
+                    post.bound = (post.bound + 0.1).min(1.0);
+                } else if strain <= NODE_PART && post.out + 1.0 >= post.bound.floor() {
                     post.bound = (post.bound + 1.0 / post.bound).min(MOST_OUT);
                 }
                 // Against a slow or shared node: its gaps are long for all alike, so a gap is read against
@@ -528,10 +535,9 @@
             }
             Outcome::Full => {
                 post.misses = 0;
-                post.bound = (post.bound * 0.5).max(1.0);
+                post.bound = (post.bound * 0.5).max(LEAST);
                 post.next_try = now + 0.02;
             }
-            Outcome::Failed => post.misses = 0,
             Outcome::Unreachable | Outcome::TimedOut | Outcome::Reset => {
                 post.misses += 1;
                 if outcome == Outcome::Unreachable || post.misses >= 3 {
@@ -539,6 +545,8 @@
                     post.next_try = now + 0.05 * f64::from(1 << post.misses.min(5)) * spread;
                 }
             }
+            // An error, however fast, is charged as estimated and says nothing of the node's pace.
+            Outcome::Failed => post.misses = 0,
             Outcome::Cancelled | Outcome::Moot => {}
         }
     }
@@ -548,16 +556,13 @@
     /// Where a new object goes: the node with the most credit left, by chance among equals.
     fn place(&mut self, now: f64) -> BlockId {
         let mut best = (f64::NEG_INFINITY, BlockId(0));
-        let blocks: Vec<BlockId> = self.posts.keys().copied().collect();
-        for block in blocks {
-            let cold = self.cold(now, block);
-            let lot = self.chance.generate::<f64>();
-            let post = &self.posts[&block];
+        for (block, post) in &self.posts {
             let open = post.ready && now >= post.next_try;
             let credit = if open { post.bound.floor() - post.out - post.held } else { -1e6 };
-            let credit = credit - if cold { MOST_OUT } else { 0.0 } + 0.5 * lot;
+            let young = if self.cold(now, *block) { MOST_OUT } else { 0.0 };
+            let credit = credit - young + 0.5 * self.chance.generate::<f64>();
             if credit > best.0 {
-                best = (credit, block);
+                best = (credit, *block);
             }
         }
         self.post(best.1);
@@ -689,6 +694,7 @@
             cut_at: 0.0,
             misses: 0,
             next_try: 0.0,
+            paced_until: 0.0,
             wake_at: 0.0,
             last_done: 0.0,
             recent: VecDeque::new(),
