Keep the proof of a cold node under one, so that its budget cannot run away

It had settled 44 units in the second before, far more than its capacity by work: put-off writes and runs cost little to answer, and with the multiple of 2 each settled unit allowed a further one. Now six tenths of what was settled counts, whatever the multiple, so all initiators stay within 2.5 times the even budget. Half of the multiple as before must not come back.

--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -100,7 +100,6 @@
         start_capacity: pairs.number("Rules.StartCapacity")?,
         cold_for: pairs.number("Rules.Cold")?,
         overload_for: pairs.number("Rules.OverloadFor")?,
-        fall_multiple: pairs.number("Rules.FallMultiple")?,
         key_quiet: pairs.number("Rules.KeyQuiet")?,
         further: if look_back > 0.0 {
             Some((pairs.number("Rules.ResendRatio")?, pairs.number("Rules.SpareAttempts")?, look_back))
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,8 +32,9 @@
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
-/// Part of the rule's multiple that a cold node's own answers may use up; the rest stays for chance.
-const PROOF: f64 = 0.5;
+/// Part of what a cold node settled for us that it may be sent on top of its even budget. Answers can cost it
+/// far less than the work they bring (runs, put-off writes), so it stays under one: a sum that cannot run away.
+const PROOF: f64 = 0.6;
 /// Transactions of one line that are looked at when those before them may not be sent yet.
 const LOOK_AHEAD: usize = 16;
 /// A single gap counts at most this many times what the node's pace makes likely, at least one part.
@@ -671,10 +672,10 @@
         }
         let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
         let bears = self.set.young_units.max(self.set.mean_units) / self.set.initiators.max(1.0);
-        let (overload_for, multiple) = (self.set.overload_for, self.set.fall_multiple);
+        let overload_for = self.set.overload_for;
         let post = self.post(block);
         let age = (now - post.started - overload_for).clamp(0.0, warm);
-        let proof = PROOF * multiple * post.proved.sum(now);
+        let proof = PROOF * post.proved.sum(now);
         bears * (1.0 + (1.0 / first - 1.0) * age / warm) + proof - post.young.sum(now)
     }
 
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -127,7 +127,9 @@
     });
     assert_eq!(rig.sent(), 2);
     rig.at(100.15).back(1, "a", Settled).back(2, "a", Settled).run(100.22);
-    assert_eq!(rig.sent(), 2);
+    // Six tenths of the four units settled: one more, or answers that cost little run away with the budget,
+    // as on a recorded day on which a cold node was pushed over.
+    assert_eq!(rig.sent(), 1);
 }
 
 // Rule 5: key order.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -64,7 +64,6 @@
         start_capacity: 0.2,
         cold_for: 10.0,
         overload_for: 1.0,
-        fall_multiple: 2.0,
         key_quiet: 0.1,
         further: None,
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -146,7 +146,7 @@
 #[test_case(Settings { plans: vec![Plan { limit: 0.0, burst: 0.0, reservation: 0.0, weight: 0.0, factor: 0.0 }; 3],
     ..settings() } ; "plans without reserve or weight")]
 #[test_case(Settings { mean_units: 0.0, young_units: 0.0, start_capacity: 0.0, cold_for: 0.0, overload_for: 0.0,
-    fall_multiple: 0.0, key_quiet: 0.0, initiators: 1.0, ..settings() } ; "figures absent")]
+    key_quiet: 0.0, initiators: 1.0, ..settings() } ; "figures absent")]
 #[test_case(Settings { most_shots: 1, advises_return: false, must_ask: true, ..settings() } ; "one shot, no advice")]
 fn other_deployments_are_answered_too(set: Settings) {
     let mut rig = Rig::new(0.0, set);
