Take callers with very little patience as first tries, not as late repeats

Told from lost answers by a tap: the declines came in the call that took the transaction. More time spent than a refusal and the advised wait explain is now an impatient caller. It could harm where callers wait far longer than advised before they repeat.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,7 +33,7 @@
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
 /// Part of what a cold node settled for us that it may be sent on top of its even budget. Answers can cost it
-/// far less than the work they bring (runs, put-off writes), so it stays under one: a sum that cannot run away.
+/// far less than the work they bring (runs, put-off writes), so it stays under one and cannot run away.
 const PROOF: f64 = 0.6;
 /// Transactions of one line that are looked at when those before them may not be sent yet.
 const LOOK_AHEAD: usize = 16;
@@ -210,10 +210,11 @@
             filled_at: now,
             usage: Ring::new(0.5, 6),
         });
-        // A client's repeat has less time left than a first try; what it already spent counts against its
-        // due time, which belongs to the first try.
+        // A client's repeat has less time left than a first try; what it spent counts against its due time.
+        // More spent than a refusal and the advised wait explain is an impatient caller, not a repeat.
         self.longest[band.0] = self.longest[band.0].max(budget);
-        let spent = self.longest[band.0] - budget;
+        let explained = 1.25 * (self.set.bands[band.0].due + self.set.longest_return);
+        let spent = Some(self.longest[band.0] - budget).filter(|spent| *spent < explained).unwrap_or(0.0);
         let due = now + (self.set.bands[band.0].due - spent).min(budget);
         let (late, movable) = (due <= now, block.is_none());
         let block = block.unwrap_or_else(|| self.place(now));
@@ -374,7 +375,6 @@
             }
             let post = self.post(block);
             if wake > now && wake < f64::INFINITY && post.wake_at <= now {
-                // One timer stands for all that waits here for time to pass, at most one each 10 ms.
                 post.wake_at = wake.max(now + 0.01);
                 out.set_timer(post.wake_at - now, (block.0 as u64) << 2 | TAG_WAKE);
             }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -138,7 +138,11 @@
     };
     late(&mut rig, 2, 1.2);
     assert_eq!(rig.seen(), ["decline 2 0.5"]);
+    // Found on a recorded day: callers with a tenth of the usual patience are first tries, not late ones.
+    late(&mut rig, 4, 0.2);
+    assert!(rig.seen().is_empty());
     rig.back(900, "a", Settled).seen();
+    rig.at(now + 0.001).back(4, "a", Settled).seen();
     late(&mut rig, 3, 1.2);
     assert_eq!(rig.seen(), ["send 3 a"]);
 }
