Tidy the module: no needless work on answers, retries and lists

Read once more. A retry chose a new node even for what may not move, and every answer drew a random wait that only a miss uses; a list entry built a set of rings though the node was known, and a draining node never seen ready made an empty place. Decisions are meant to stay the same; since fewer random numbers are drawn, ties and jittered waits fall otherwise.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,8 +20,6 @@
 /// The design's bound on shots out at one node for one initiator.
 const MOST_OUT: f64 = 20.0;
 /// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
-/// mechanism still has the choice.
-/// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
 /// mechanism still has the choice. Past the second figure most answers would come too late: many initiators
 /// share the node, so that even one shot each is a queue, and slack is spaced, down to the least bound.
 const NODE_PART: f64 = 0.1;
@@ -37,7 +35,7 @@
 const PROOF: f64 = 0.6;
 /// Transactions of one line that are looked at when those before them may not be sent yet.
 const LOOK_AHEAD: usize = 16;
-/// A single gap counts at most this many times what the node's pace makes likely, at least one part.
+/// A single gap counts at most this many times what the node's pace makes likely, at least that part.
 const GAP_CLAMP: f64 = 3.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -179,18 +177,20 @@
         for (node, block, condition, started) in entries {
             let ours = self.posts.get(block).is_some_and(|post| post.node.as_ref() == Some(node));
             if *condition != Condition::Ready {
-                self.post(*block).ready &= !ours;
+                if ours {
+                    self.post(*block).ready = false;
+                }
                 continue;
             }
-            let fresh = self.fresh_post();
-            let post = self.post(*block);
-            if !ours || post.started != *started {
+            if !ours || self.posts[block].started != *started {
+                let fresh = self.fresh_post();
+                let post = self.post(*block);
                 let (lines, again) = (std::mem::take(&mut post.lines), std::mem::take(&mut post.again));
                 let out = if ours { post.out } else { 0.0 };
                 *post = Post { lines, again, held: post.held, out, ..fresh };
                 (post.node, post.started) = (Some(node.clone()), *started);
             }
-            post.ready = true;
+            self.post(*block).ready = true;
             self.pump(now, *block, out);
         }
     }
@@ -285,13 +285,11 @@
         if over || last || outcome == Outcome::Settled {
             self.end(now, id, out);
         } else if self.may_send(now, id) && now < self.transactions[&id].give_up {
-            let place = self.place(now);
+            let t = &self.transactions[&id];
+            let block = if t.movable && t.maybe_ran.is_none() { self.place(now) } else { t.block };
             let t = self.transactions.get_mut(&id).unwrap();
-            if t.movable && t.maybe_ran.is_none() {
-                t.block = place;
-            }
+            t.block = block;
             out.set_timer(t.give_up - now, id.0 << 2 | TAG_GIVE_UP);
-            let block = t.block;
             self.shift(id, State::Again);
             self.pump(now, block, out);
         } else {
@@ -387,10 +385,9 @@
         let (mut look_again, mut best) = (f64::INFINITY, None);
         let cold = self.cold(now, block);
         let post = &self.posts[&block];
-        let heads = |line: &VecDeque<TransactionId>| line.iter().copied().take(LOOK_AHEAD).collect();
-        let lines: Vec<(VolumeId, Vec<_>)> =
-            post.lines.iter().map(|(name, line)| (name.clone(), heads(line))).collect();
-        let again: Vec<_> = heads(&post.again);
+        let heads =
+            |line: &VecDeque<_>| line.iter().copied().take(LOOK_AHEAD).collect::<Vec<TransactionId>>();
+        let lines: Vec<_> = post.lines.iter().map(|(name, line)| (name.clone(), heads(line))).collect();
         for (name, line) in lines {
             self.fill(now, &name);
             let mut ready = |id: &TransactionId| {
@@ -409,17 +406,16 @@
                 best = Some((rank, id));
             }
         }
-        for id in again {
-            if best.is_some() || reserve_only {
-                break;
-            }
-            let volume = self.transactions[&id].volume.clone();
-            self.fill(now, &volume);
-            let at = self.ready_at(now, id);
-            if at <= now && self.may_send(now, id) {
-                return Ok(id);
+        if best.is_none() && !reserve_only {
+            for id in heads(&self.posts[&block].again) {
+                let volume = self.transactions[&id].volume.clone();
+                self.fill(now, &volume);
+                let at = self.ready_at(now, id);
+                if at <= now && self.may_send(now, id) {
+                    return Ok(id);
+                }
+                look_again = look_again.min(at.max(now + 0.02));
             }
-            look_again = look_again.min(at.max(now + 0.02));
         }
         best.map(|(_, id)| id).ok_or(look_again)
     }
@@ -451,14 +447,14 @@
 
     fn fill(&mut self, now: f64, name: &VolumeId) {
         let share = self.reserve_share(name);
+        let parts = self.volumes[name].initiators;
+        let (rate, burst) =
+            self.plan(name).map_or((0.0, 0.0), |plan| (plan.limit / parts, plan.burst / parts));
         let volume = self.volumes.get_mut(name).unwrap();
         let past = now - volume.filled_at;
         volume.filled_at = now;
         volume.reserve = (volume.reserve + share * past).min(share);
-        if let Some(plan) = volume.plan.map(|plan| &self.set.plans[plan.0]) {
-            volume.limit =
-                (volume.limit + plan.limit / volume.initiators * past).min(plan.burst / volume.initiators);
-        }
+        volume.limit = (volume.limit + rate * past).min(burst);
     }
 
     /// Charged time; the reserve bucket stays within a second's share either way.
@@ -485,13 +481,14 @@
         }
         (t.estimate, t.sent_at, t.was_idle, t.shot_out) = (estimate, now, post.out == 0.0, true);
         post.out += 1.0;
-        post.paced_until = now + estimate * post.delays.mean(now, 1.0) / post.bound;
+        let likely = estimate * post.delays.mean(now, 1.0);
+        post.paced_until = now + likely / post.bound;
         post.young.add(now, units, 1.0);
         t.shots += 1;
         let name = t.volume.clone();
         // To the outer limit, as a node may go on with what is timed out. Only where many shots time out
         // though others come back soon, answers get lost, and an early stop leaves time for another shot.
-        let stay = (STAYS * estimate * post.delays.mean(now, 1.0)).max(self.set.bands[t.band.0].due / 3.0);
+        let stay = (STAYS * likely).max(self.set.bands[t.band.0].due / 3.0);
         let lossy = post.lost.mean(now, 0.0) > LOSSY && post.strain.mean(now, 1.0) < 0.5 * JAM_PART;
         let stop_at = if lossy { t.outer.min(now + stay) } else { t.outer };
         post.node.iter().for_each(|node| out.send(id, stop_at, node));
@@ -508,7 +505,6 @@
         let t = &self.transactions[&id];
         let (estimate, units, block, name) = (t.estimate, t.units, t.block, t.volume.clone());
         let (due, was_idle) = (self.set.bands[t.band.0].due, t.was_idle);
-        let spread = self.spread();
         let post = self.post(block);
         post.out = (post.out - 1.0).max(0.0);
         post.lost.add(now, f64::from(u8::from(outcome == Outcome::TimedOut)), 1.0);
@@ -548,7 +544,8 @@
                 post.misses += 1;
                 if outcome == Outcome::Unreachable || post.misses >= 3 {
                     post.bound = 1.0;
-                    post.next_try = now + 0.05 * f64::from(1 << post.misses.min(5)) * spread;
+                    let wait = 0.05 * f64::from(1 << post.misses.min(5));
+                    self.post(block).next_try = now + wait * self.spread();
                 }
             }
             // An error, however fast, is charged as estimated and says nothing of the node's pace.
