Let slack wait by mean stay; split reserves by news; full limits from a seen beginning

Changes: slack waits while the mean stay (last half second, else last seconds, else all nodes) is past a part of the due time that falls with the number of initiators; spacing below a bound of one goes. The reserve is split by use as answers tell it, its debt is as deep as one transaction. Slack goes by use through all initiators beyond the reserve. Limit buckets start full where the first answer shows that no period of use was ever counted: then all have just begun. A restarted initiator always finds such a figure.

--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -340,7 +340,8 @@
         }
         "ACK_FIRST" => {
             fields.exactly(4)?;
-            brain.answer_began(now, transaction(0)?, fields.needed(1, "Try")?, &fields.node(2)?, out);
+            // Nothing is decided on these three yet: no band streams, no node is probed, no initiator talks.
+            transaction(0)?;
         }
         "RETURNED" => {
             fields.exactly(9)?;
@@ -368,16 +369,11 @@
         }
         "PROBED" => {
             fields.exactly(4)?;
-            let (outcome, delay) = (fields.outcome(1)?, fields.time(2, "DelaySeen")?);
-            brain.probed(now, &fields.node(0)?, outcome, delay, &fields.report(3)?, out);
+            fields.outcome(1)?;
         }
         "PEER" => {
             fields.exactly(2)?;
-            let hex = fields.text(1).unwrap_or("");
-            let byte = |at| hex.get(at..at + 2).and_then(|pair| u8::from_str_radix(pair, 16).ok());
-            let payload: Option<Vec<u8>> = (0..hex.len()).step_by(2).map(byte).collect();
-            let payload = payload.ok_or_else(|| format!("PEER: field Payload: cannot read '{hex}'"))?;
-            brain.told(now, fields.needed(0, "Author")?, &payload, out);
+            fields.needed::<u64>(0, "Author")?;
         }
         other => return Err(format!("{other}: unknown event")),
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,35 +20,44 @@
 /// The design's bound on shots out at one node for one initiator.
 const MOST_OUT: f64 = 20.0;
 /// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
-/// mechanism still has the choice. Past the second figure most answers would come too late: many initiators
-/// share the node, so that even one shot each is a queue, and slack is spaced, down to the least bound.
+/// mechanism still has the choice. Even one shot from each initiator can be a queue: past the second figure
+/// slack waits. All others may send before this one hears of it, so it leaves the more room the more they
+/// are: alone it would wait for the third figure more.
 const NODE_PART: f64 = 0.1;
-const JAM_PART: f64 = 0.6;
-const LEAST: f64 = 0.2;
+const SLACK_PART: f64 = 0.3;
+const SLACK_ALONE: f64 = 1.5;
+/// What such a gate holds back looks again after this long.
+const LOOK: f64 = 0.05;
+/// The few seconds over which use is compared.
+const FEW: f64 = 3.0;
+/// Answers that the wider measure counts for where a narrower one has few.
+const PRIOR: f64 = 1.0;
 /// Shots beyond the bound that only the reserves may use, so that slack sent before does not delay them.
 const HEADROOM: f64 = 1.0;
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
-/// Part of what a cold node settled for us that it may be sent on top of its even budget. Answers can cost it
-/// far less than the work they bring (runs, put-off writes), so it stays under one and cannot run away.
+/// Part of what a cold node settled for us that it may be sent on top of its even budget: under one, since
+/// answers can cost it far less than the work they bring, and the budget must not run away.
 const PROOF: f64 = 0.6;
 /// Transactions of one line that are looked at when those before them may not be sent yet.
 const LOOK_AHEAD: usize = 16;
 /// A single gap counts at most this many times what the node's pace makes likely, at least that part.
 const GAP_CLAMP: f64 = 3.0;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
     /// Held for its first shot, in the line of its volume at its node.
     Waiting,
     /// Held in the node's second line: a further shot, or a client's repeat whose due time has passed.
     Again,
     Out,
-    /// Answered; kept only while a shot has no outcome.
+    /// Answered; kept only while a shot has no outcome. Also before the first change.
+    #[default]
     Over,
 }
 
+#[derive(Default)]
 struct Transaction {
     state: State,
     band: BandId,
@@ -70,27 +79,37 @@
     maybe_ran: Option<f64>,
 }
 
+/// Most measures forget after three seconds.
+impl Default for Ring {
+    fn default() -> Self {
+        Ring::new(0.5, 6)
+    }
+}
+
 /// What is known of the node that holds one block, and what waits for it.
+#[derive(Default)]
 struct Post {
     node: Option<NodeId>,
     ready: bool,
     started: f64,
     out: f64,
     bound: f64,
-    cut_at: f64,
     misses: i32,
     next_try: f64,
-    paced_until: f64,
+    silent_since: f64,
     wake_at: f64,
     last_done: f64,
     recent: VecDeque<ExtentId>,
     lines: BTreeMap<VolumeId, VecDeque<TransactionId>>,
     again: VecDeque<TransactionId>,
-    held: f64,
-    /// Completion gaps and delays, each against its estimate; delays against their due times.
+    /// When answers last told what others used of a volume.
+    told: BTreeMap<VolumeId, f64>,
+    /// Completion gaps and delays, each against its estimate.
     gaps: Ring,
     delays: Ring,
+    /// Delays against their due times, of the last half second, and with those of time-outs of three seconds.
     strain: Ring,
+    stays: Ring,
     /// Shots that timed out, of all that ended.
     lost: Ring,
     /// Units sent to it and units it settled, over the window of the rule on cold nodes.
@@ -98,13 +117,22 @@
     proved: Ring,
 }
 
+impl Post {
+    fn held(&self) -> f64 {
+        (self.lines.values().map(VecDeque::len).sum::<usize>() + self.again.len()) as f64
+    }
+}
+
+#[derive(Default)]
 struct Volume {
-    plan: Option<PlanId>,
+    plan: PlanId,
     initiators: f64,
     reserve: f64,
     limit: f64,
     filled_at: f64,
     usage: Ring,
+    theirs: Ring,
+    part: f64,
 }
 
 #[derive(Default)]
@@ -116,6 +144,9 @@
 pub struct Brain {
     set: Settings,
     chance: WyRand,
+    shortest: f64,
+    fleet: Ring,
+    slack_part: f64,
     started: f64,
     transactions: BTreeMap<TransactionId, Transaction>,
     posts: BTreeMap<BlockId, Post>,
@@ -125,6 +156,7 @@
     taken: Ring,
     further: Ring,
     failed_calls: i32,
+    began: Option<bool>,
     /// Estimated node time of one random unit; units already tell a large transaction from a small one.
     unit_time: f64,
 }
@@ -138,21 +170,27 @@
         if set.must_ask {
             out.subscribe(true);
         }
+        let mut set = set;
+        set.plans.push(Plan::default()); // that of a volume without a plan
         let shortest = set.bands.iter().map(|band| band.due).fold(f64::INFINITY, f64::min);
         let look_back = set.further.map_or(1.0, |(_, _, look_back)| look_back);
         Brain {
             chance: WyRand::new_seed(seed),
+            shortest,
             started: now,
-            transactions: BTreeMap::new(),
-            posts: BTreeMap::new(),
-            volumes: BTreeMap::new(),
-            turns: BTreeMap::new(),
+            slack_part: SLACK_PART + SLACK_ALONE / set.initiators.max(1.0),
+            fleet: Ring::new(0.25, 4),
             longest: vec![0.0; set.bands.len()],
             // One ring forgets a little early, the other a little late, so that neither helps the budget.
             taken: Ring::new(look_back / 50.0, 50),
             further: Ring::new(look_back / 50.0, 52),
-            failed_calls: 0,
             unit_time: shortest.min(1e3) * RANDOM_PART / set.mean_units.max(1.0),
+            transactions: BTreeMap::new(),
+            posts: BTreeMap::new(),
+            volumes: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            failed_calls: 0,
+            began: None,
             set,
         }
     }
@@ -165,7 +203,8 @@
             // The notice may mean a lost subscription, so ask again; spaced and jittered, because the
             // register serves all initiators and a crowd of repeats would keep it from answering any.
             self.failed_calls += 1;
-            let wait = 0.5 * f64::from(1 << self.failed_calls.min(3)) * self.spread();
+            let wait =
+                0.5 * f64::from(1 << self.failed_calls.min(3)) * (0.75 + 0.5 * self.chance.generate::<f64>());
             return out.set_timer(wait, TAG_ASK);
         }
         self.failed_calls = 0;
@@ -183,12 +222,10 @@
                 continue;
             }
             if !ours || self.posts[block].started != *started {
-                let fresh = self.fresh_post();
-                let post = self.post(*block);
-                let (lines, again) = (std::mem::take(&mut post.lines), std::mem::take(&mut post.again));
-                let out = if ours { post.out } else { 0.0 };
-                *post = Post { lines, again, held: post.held, out, ..fresh };
-                (post.node, post.started) = (Some(node.clone()), *started);
+                let Post { lines, again, out, .. } = self.posts.remove(block).unwrap_or_default();
+                let (node, out) = (Some(node.clone()), if ours { out } else { 0.0 });
+                let post = Post { node, started: *started, lines, again, out, ..self.fresh_post() };
+                self.posts.insert(*block, post);
             }
             self.post(*block).ready = true;
             self.pump(now, *block, out);
@@ -201,14 +238,13 @@
         out: &mut impl Outbox,
     ) {
         self.taken.add(now, 1.0, 1.0);
-        self.volumes.entry(volume.clone()).or_insert_with(|| Volume {
-            plan,
-            initiators: initiators.max(1.0),
-            reserve: 0.0,
-            // Empty, not full: a restart must not hand out a second burst, and a first start looks the same.
-            limit: 0.0,
-            filled_at: now,
-            usage: Ring::new(0.5, 6),
+        let plan = plan.unwrap_or(PlanId(self.set.plans.len() - 1));
+        let (initiators, burst) = (initiators.max(1.0), self.set.plans[plan.0].burst);
+        // Empty unless all was seen from the beginning: a restart must not hand out a second burst.
+        let limit = if self.began == Some(true) { burst / initiators } else { 0.0 };
+        self.volumes.entry(volume.clone()).or_insert_with(|| {
+            let part = 1.0 / initiators;
+            Volume { plan, initiators, limit, part, filled_at: now, ..Volume::default() }
         });
         // A client's repeat has less time left than a first try; what it spent counts against its due time.
         // More spent than a refusal and the advised wait explain is an impatient caller, not a repeat.
@@ -227,58 +263,40 @@
                 self.turns.entry(extent.clone()).or_default().line.push_back(id);
             }
         }
-        self.transactions.insert(
-            id,
-            Transaction {
-                state: State::Over,
-                band,
-                volume,
-                extent,
-                units,
-                block,
-                movable,
-                due,
-                outer: now + budget,
-                give_up,
-                shots: 0,
-                shot_out: false,
-                sent_at: now,
-                was_idle: false,
-                estimate,
-                maybe_ran: None,
-            },
-        );
+        let t = Transaction { band, volume, extent, units, block, movable, ..Transaction::default() };
+        self.transactions.insert(id, Transaction { due, outer: now + budget, give_up, estimate, ..t });
         self.shift(id, if late { State::Again } else { State::Waiting });
         self.pump(now, block, out);
-        match self.transactions[&id].state {
-            State::Waiting => out.set_timer(give_up - now, id.0 << 2 | TAG_GIVE_UP),
+        if self.transactions[&id].state == State::Waiting {
+            out.set_timer(give_up - now, id.0 << 2 | TAG_GIVE_UP);
+        } else if self.transactions[&id].state == State::Again {
             // Late already: it had its chance at credit that nothing in time wanted.
-            State::Again => self.give_up(now, id, out),
-            State::Out | State::Over => {}
+            self.give_up(now, id, out);
         }
     }
 
-    // Nothing is decided on these yet: no band streams, nodes are not probed, initiators do not talk.
-    pub fn answer_began(&mut self, _: f64, _: TransactionId, _: u32, _: &NodeId, _: &mut impl Outbox) {}
-    pub fn probed(&mut self, _: f64, _: &NodeId, _: Outcome, _: f64, _: &[f64], _: &mut impl Outbox) {}
-    pub fn told(&mut self, _: f64, _: u64, _: &[u8], _: &mut impl Outbox) {}
-
     pub fn returned(
-        &mut self, now: f64, id: TransactionId, node: &NodeId, _shot: u32, _used: f64, delay: f64,
-        last: bool, outcome: Outcome, _others: f64, _report: &[f64], out: &mut impl Outbox,
+        &mut self, now: f64, id: TransactionId, node: &NodeId, _shot: u32, used: f64, delay: f64, last: bool,
+        outcome: Outcome, others: f64, _report: &[f64], out: &mut impl Outbox,
     ) {
         let Some(t) = self.transactions.get_mut(&id) else { return };
         t.shot_out = false;
-        let never_ran = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
-        if !never_ran {
+        if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot) {
             t.maybe_ran.get_or_insert(t.sent_at);
         }
         let (block, over) = (t.block, t.state == State::Over);
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
-            if let Some(turn) = t.extent.as_ref().and_then(|extent| self.turns.get_mut(extent)) {
-                turn.quiet_until = now + self.set.key_quiet;
+            let turn = t.extent.as_ref().and_then(|extent| self.turns.get_mut(extent));
+            turn.into_iter().for_each(|turn| turn.quiet_until = now + self.set.key_quiet);
+        }
+        if outcome == Outcome::Settled && self.began.is_none() {
+            // No period of use is over anywhere: all initiators have just begun, this one for the first time.
+            self.began = Some(self.set.metered && used == 0.0);
+            for volume in self.volumes.values_mut().filter(|_| self.began == Some(true)) {
+                volume.limit += self.set.plans[volume.plan.0].burst / volume.initiators;
             }
         }
+        self.learn(now, id, others);
         if self.post(block).node.as_ref() == Some(node) {
             self.account(now, id, delay, outcome);
         }
@@ -327,11 +345,8 @@
         let post = self.posts.get_mut(&t.block).unwrap();
         match from {
             State::Waiting => {
-                let line = post.lines.get_mut(&t.volume).unwrap();
-                line.retain(|held| *held != id);
-                if line.is_empty() {
-                    post.lines.remove(&t.volume);
-                }
+                post.lines.get_mut(&t.volume).unwrap().retain(|held| *held != id);
+                post.lines.retain(|_, line| !line.is_empty());
             }
             State::Again => post.again.retain(|held| *held != id),
             State::Out | State::Over => {}
@@ -347,8 +362,6 @@
             State::Again => post.again.push_back(id),
             State::Out | State::Over => {}
         }
-        let held = |state| f64::from(u8::from(matches!(state, State::Waiting | State::Again)));
-        post.held += held(to) - held(from);
     }
 
     // The ordinary path.
@@ -356,19 +369,19 @@
     fn pump(&mut self, now: f64, block: BlockId, out: &mut impl Outbox) {
         loop {
             let post = self.post(block);
-            if !post.ready || post.held == 0.0 || post.out >= post.bound.floor() + HEADROOM {
+            if !post.ready || post.held() == 0.0 || post.out >= post.bound.floor() + HEADROOM {
                 return;
             }
-            let pace_end = if post.bound < 1.0 { post.paced_until } else { 0.0 };
-            let reserve_only = post.out >= post.bound.floor().max(1.0) || now < pace_end;
-            let mut wake = post.next_try;
-            if now >= post.next_try {
-                match self.pick(now, block, reserve_only) {
+            let (full, mut wake) = (post.out >= post.bound.floor(), post.next_try);
+            let stay = self.stay(now, block);
+            if now >= wake {
+                match self.pick(now, block, full || stay > self.slack_part) {
                     Ok(id) => {
                         self.send(now, id, out);
                         continue;
                     }
-                    Err(at) => wake = if now < pace_end { at.min(pace_end) } else { at },
+                    Err(at) if stay <= self.slack_part => wake = at,
+                    Err(_) => wake = now + LOOK,
                 }
             }
             let post = self.post(block);
@@ -380,6 +393,16 @@
         }
     }
 
+    /// Mean stay at the node, in due times, by the answers of the last half second; where these are few, by
+    /// those of the last seconds, and where these are, by all nodes. Silence tells as much as a late answer.
+    fn stay(&mut self, now: f64, block: BlockId) -> f64 {
+        let fleet = self.fleet.blend(now, 0.0, PRIOR);
+        let post = self.posts.get_mut(&block).unwrap();
+        let wide = post.stays.blend(now, fleet, PRIOR);
+        let silent = if post.out > 0.0 { (now - post.silent_since) / self.shortest } else { 0.0 };
+        post.strain.blend(now, wide, PRIOR).max(silent)
+    }
+
     /// The next transaction for this node, or when to look again.
     fn pick(&mut self, now: f64, block: BlockId, reserve_only: bool) -> Result<TransactionId, f64> {
         let (mut look_again, mut best) = (f64::INFINITY, None);
@@ -397,8 +420,7 @@
             };
             let Some(id) = line.into_iter().find(&mut ready) else { continue };
             let rank = if cold {
-                let factor = self.plan(&name).map_or(1.0, |plan| plan.factor);
-                (0, -self.set.bands[self.transactions[&id].band.0].benefit * factor)
+                (0, -self.set.bands[self.transactions[&id].band.0].benefit * self.plan(&name).factor)
             } else {
                 self.rank(now, &name, self.transactions[&id].estimate)
             };
@@ -424,32 +446,45 @@
     /// volume with the least charged time of the last few seconds for its weight.
     fn rank(&mut self, now: f64, name: &VolumeId, estimate: f64) -> (u8, f64) {
         let share = self.reserve_share(name);
-        let weight = self.plan(name).map_or(1.0, |plan| plan.weight).max(0.01);
+        let weight = self.plan(name).weight.max(0.01);
+        let reserved = self.plan(name).reservation * self.unit_time;
         let volume = self.volumes.get_mut(name).unwrap();
         // The bucket never holds more than a second's share, so a full one covers any estimate.
         let wait = (estimate.min(share) - volume.reserve) / share.max(1e-9);
         if share > 0.0 && wait <= 0.0 {
             (0, wait)
         } else {
-            (1, volume.usage.sum(now) / weight)
+            let beyond = volume.usage.sum(now) + volume.theirs.sum(now) - reserved * FEW;
+            (1, beyond.max(0.0) / weight)
         }
     }
 
+    /// The reservation is split by who used the volume of late, evenly while little is known.
+    fn learn(&mut self, now: f64, id: TransactionId, others: f64) {
+        let t = &self.transactions[&id];
+        let last = self.posts.get_mut(&t.block).unwrap().told.insert(t.volume.clone(), now);
+        let volume = self.volumes.get_mut(&t.volume).unwrap();
+        // The figure is of all the time since the last one: only the last few seconds of it count.
+        let recent = last.map_or(0.0, |last| (FEW / (now - last).max(1e-3)).min(1.0));
+        volume.theirs.add(now, others * recent * self.unit_time, 1.0);
+        let (ours, theirs) = (volume.usage.sum(now).max(0.0), volume.theirs.sum(now));
+        let known = 2.0 * self.set.mean_units.max(1.0) * self.unit_time;
+        volume.part = (ours + known / volume.initiators) / (ours + theirs + known);
+    }
+
     /// This initiator's part of the volume's reservation, in node time a second.
     fn reserve_share(&self, name: &VolumeId) -> f64 {
-        let reservation = self.plan(name).map_or(0.0, |plan| plan.reservation);
-        reservation / self.volumes[name].initiators * self.unit_time
+        self.plan(name).reservation * self.volumes[name].part * self.unit_time
     }
 
-    fn plan(&self, name: &VolumeId) -> Option<&Plan> {
-        self.volumes[name].plan.map(|plan| &self.set.plans[plan.0])
+    fn plan(&self, name: &VolumeId) -> &Plan {
+        &self.set.plans[self.volumes[name].plan.0]
     }
 
     fn fill(&mut self, now: f64, name: &VolumeId) {
         let share = self.reserve_share(name);
         let parts = self.volumes[name].initiators;
-        let (rate, burst) =
-            self.plan(name).map_or((0.0, 0.0), |plan| (plan.limit / parts, plan.burst / parts));
+        let (rate, burst) = (self.plan(name).limit / parts, self.plan(name).burst / parts);
         let volume = self.volumes.get_mut(name).unwrap();
         let past = now - volume.filled_at;
         volume.filled_at = now;
@@ -461,7 +496,7 @@
     fn charge(&mut self, now: f64, name: &VolumeId, time: f64) {
         let share = self.reserve_share(name);
         let volume = self.volumes.get_mut(name).unwrap();
-        volume.reserve = (volume.reserve - time).clamp(-share, share);
+        volume.reserve = (volume.reserve - time).clamp(-share.max(time), share);
         volume.usage.add(now, time, 1.0);
     }
 
@@ -480,16 +515,16 @@
             post.recent.truncate(RECENT);
         }
         (t.estimate, t.sent_at, t.was_idle, t.shot_out) = (estimate, now, post.out == 0.0, true);
+        post.silent_since = if post.out == 0.0 { now } else { post.silent_since };
         post.out += 1.0;
         let likely = estimate * post.delays.mean(now, 1.0);
-        post.paced_until = now + likely / post.bound;
         post.young.add(now, units, 1.0);
         t.shots += 1;
         let name = t.volume.clone();
         // To the outer limit, as a node may go on with what is timed out. Only where many shots time out
         // though others come back soon, answers get lost, and an early stop leaves time for another shot.
         let stay = (STAYS * likely).max(self.set.bands[t.band.0].due / 3.0);
-        let lossy = post.lost.mean(now, 0.0) > LOSSY && post.strain.mean(now, 1.0) < 0.5 * JAM_PART;
+        let lossy = post.lost.mean(now, 0.0) > LOSSY && post.strain.mean(now, 1.0) < 0.3;
         let stop_at = if lossy { t.outer.min(now + stay) } else { t.outer };
         post.node.iter().for_each(|node| out.send(id, stop_at, node));
         if t.shots > 1 {
@@ -504,29 +539,29 @@
     fn account(&mut self, now: f64, id: TransactionId, delay: f64, outcome: Outcome) {
         let t = &self.transactions[&id];
         let (estimate, units, block, name) = (t.estimate, t.units, t.block, t.volume.clone());
-        let (due, was_idle) = (self.set.bands[t.band.0].due, t.was_idle);
-        let post = self.post(block);
+        let (stay, was_idle) = (delay / self.set.bands[t.band.0].due, t.was_idle);
+        let post = self.posts.get_mut(&block).unwrap();
+        if matches!(outcome, Outcome::Settled | Outcome::TimedOut) {
+            self.fleet.add(now, stay, 1.0);
+            post.stays.add(now, stay, 1.0);
+        }
         post.out = (post.out - 1.0).max(0.0);
+        post.silent_since = now;
         post.lost.add(now, f64::from(u8::from(outcome == Outcome::TimedOut)), 1.0);
+        let lost = matches!(outcome, Outcome::Unreachable | Outcome::TimedOut | Outcome::Reset);
+        post.misses = if lost { post.misses + 1 } else { 0 };
         match outcome {
             Outcome::Settled => {
                 let gap = if was_idle { delay } else { (now - post.last_done).max(0.0) };
                 post.last_done = now;
-                post.misses = 0;
                 post.proved.add(now, units, 1.0);
                 post.gaps.add(now, gap, estimate);
                 post.delays.add(now, delay, estimate);
-                post.strain.add(now, delay / due, 1.0);
+                post.strain.add(now, stay, 1.0);
                 let strain = post.strain.mean(now, 0.0);
-                let (part, least) = if post.bound > 1.0 { (NODE_PART, 1.0) } else { (JAM_PART, LEAST) };
-                if strain > part {
-                    if now >= post.cut_at {
-                        post.bound = (post.bound * 0.8).max(least);
-                        post.cut_at = now + 0.2;
-                    }
-                } else if post.bound < 1.0 {
-                    post.bound = (post.bound + 0.1).min(1.0);
-                } else if strain <= NODE_PART && post.out + 1.0 >= post.bound.floor() {
+                if strain > NODE_PART {
+                    post.bound = (post.bound * 0.9).max(1.0);
+                } else if post.out + 1.0 >= post.bound.floor() {
                     post.bound = (post.bound + 1.0 / post.bound).min(MOST_OUT);
                 }
                 // Against a slow or shared node: its gaps are long for all alike, so a gap is read against
@@ -536,21 +571,16 @@
                 self.charge(now, &name, measured - estimate);
             }
             Outcome::Full => {
-                post.misses = 0;
-                post.bound = (post.bound * 0.5).max(LEAST);
+                post.bound = (post.bound * 0.5).max(1.0);
                 post.next_try = now + 0.02;
             }
-            Outcome::Unreachable | Outcome::TimedOut | Outcome::Reset => {
-                post.misses += 1;
-                if outcome == Outcome::Unreachable || post.misses >= 3 {
-                    post.bound = 1.0;
-                    let wait = 0.05 * f64::from(1 << post.misses.min(5));
-                    self.post(block).next_try = now + wait * self.spread();
-                }
+            _ if lost && (outcome == Outcome::Unreachable || post.misses >= 3) => {
+                post.bound = 1.0;
+                let wait = 0.05 * f64::from(1 << post.misses.min(5));
+                self.post(block).next_try = now + wait * (0.75 + 0.5 * self.chance.generate::<f64>());
             }
             // An error, however fast, is charged as estimated and says nothing of the node's pace.
-            Outcome::Failed => post.misses = 0,
-            Outcome::Cancelled | Outcome::Moot => {}
+            _ => {}
         }
     }
 
@@ -559,14 +589,13 @@
     /// Where a new object goes: the node with the most credit left, by chance among equals.
     fn place(&mut self, now: f64) -> BlockId {
         let mut best = (f64::NEG_INFINITY, BlockId(0));
-        for (block, post) in &self.posts {
-            let open = post.ready && now >= post.next_try;
-            let credit = if open { post.bound.floor() - post.out - post.held } else { -1e6 };
-            let young = if self.cold(now, *block) { MOST_OUT } else { 0.0 };
-            let credit = credit - young + 0.5 * self.chance.generate::<f64>();
-            if credit > best.0 {
-                best = (credit, *block);
-            }
+        for block in self.posts.keys().copied().collect::<Vec<_>>() {
+            let post = &self.posts[&block];
+            let shut = if post.ready && now >= post.next_try { 0.0 } else { 1e6 };
+            let young = if self.cold(now, block) { MOST_OUT } else { 0.0 };
+            let credit = post.bound.floor() - post.out - post.held() - shut - young
+                + 0.5 * self.chance.generate::<f64>();
+            best = if credit > best.0 { (credit, block) } else { best };
         }
         self.post(best.1);
         best.1
@@ -622,10 +651,8 @@
             // The same block is the same cell, the smallest group there is.
             (Repeat::Tagged, Some(sent_at)) => now < sent_at + band.window,
         };
-        let budget = self
-            .set
-            .further
-            .is_none_or(|(share, free, _)| self.further.sum(now) + 1.0 <= free + share * self.taken.sum(now));
+        let (share, free, _) = self.set.further.unwrap_or((0.0, f64::INFINITY, 0.0));
+        let budget = self.further.sum(now) + 1.0 <= free + share * self.taken.sum(now);
         repeats && budget && !t.shot_out && t.shots < self.set.most_shots
     }
 
@@ -643,7 +670,7 @@
                 return turn.quiet_until;
             }
         }
-        let (volume, limit) = (&self.volumes[&t.volume], self.plan(&t.volume).map_or(0.0, |plan| plan.limit));
+        let (volume, limit) = (&self.volumes[&t.volume], self.plan(&t.volume).limit);
         if limit > 0.0 && first && volume.limit < units {
             return now + (units - volume.limit) * volume.initiators / limit;
         }
@@ -669,42 +696,21 @@
         }
         let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
         let bears = self.set.young_units.max(self.set.mean_units) / self.set.initiators.max(1.0);
-        let overload_for = self.set.overload_for;
-        let post = self.post(block);
-        let age = (now - post.started - overload_for).clamp(0.0, warm);
-        let proof = PROOF * post.proved.sum(now);
-        bears * (1.0 + (1.0 / first - 1.0) * age / warm) + proof - post.young.sum(now)
-    }
-
-    fn spread(&mut self) -> f64 {
-        0.75 + 0.5 * self.chance.generate::<f64>()
+        let post = self.posts.get_mut(&block).unwrap();
+        let age = (now - post.started - self.set.overload_for).clamp(0.0, warm);
+        let grown = bears * (1.0 + (1.0 / first - 1.0) * age / warm);
+        grown + PROOF * post.proved.sum(now) - post.young.sum(now)
     }
 
     fn fresh_post(&self) -> Post {
         let overload_for = self.set.overload_for.max(0.1);
         Post {
-            node: None,
-            ready: false,
-            started: 0.0,
-            out: 0.0,
             // The design's bound is one host's at a disk of its own; here all initiators share the node.
             bound: (MOST_OUT / self.set.initiators.max(1.0)).max(1.0),
-            cut_at: 0.0,
-            misses: 0,
-            next_try: 0.0,
-            paced_until: 0.0,
-            wake_at: 0.0,
-            last_done: 0.0,
-            recent: VecDeque::new(),
-            lines: BTreeMap::new(),
-            again: VecDeque::new(),
-            held: 0.0,
-            gaps: Ring::new(0.5, 6),
-            delays: Ring::new(0.25, 8),
             strain: Ring::new(0.1, 5),
-            lost: Ring::new(1.0, 5),
             young: Ring::new(overload_for / 8.0, 9),
             proved: Ring::new(overload_for / 8.0, 8),
+            ..Post::default()
         }
     }
 
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -37,6 +37,13 @@
         self.buckets.iter().map(|bucket| bucket.0).sum()
     }
 
+    /// The mean with a prior that counts as much as `weight`.
+    pub fn blend(&mut self, now: f64, prior: f64, weight: f64) -> f64 {
+        let amount = self.sum(now);
+        let known: f64 = self.buckets.iter().map(|bucket| bucket.1).sum();
+        (amount + prior * weight) / (known + weight)
+    }
+
     /// The sum over the weights, or `empty` where nothing was weighed.
     pub fn mean(&mut self, now: f64, empty: f64) -> f64 {
         let amount = self.sum(now);
--- a/src/types.rs
+++ b/src/types.rs
@@ -6,17 +6,17 @@
 pub struct TransactionId(pub u64);
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeId(pub Arc<str>);
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct VolumeId(pub Arc<str>);
 /// The piece of data that a transaction reads or writes; also what ordered bands take turns by.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ExtentId(pub Arc<str>);
 /// The part of the data that a node holds; a node that replaces it holds the same.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BlockId(pub i64);
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BandId(pub usize);
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PlanId(pub usize);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +68,8 @@
     pub plans: Vec<Plan>,
     pub mean_units: f64,
     pub young_units: f64,
+    /// Answers tell how much a volume used in the last finished period.
+    pub metered: bool,
     pub most_shots: u32,
     pub advises_return: bool,
     pub longest_return: f64,
@@ -90,7 +92,7 @@
     pub ordered: bool,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Plan {
     pub limit: f64,
     pub burst: f64,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -57,6 +57,7 @@
         plans: vec![plan(10.0, 0.0, 1.0), plan(0.0, 20.0, 1.0), plan(0.0, 0.0, 4.0)],
         mean_units: 2.0,
         young_units: 8.0,
+        metered: true,
         most_shots: 3,
         advises_return: true,
         longest_return: 0.5,
