Gate slack by the volume's own initiators; widen reserve buckets; save up for cold nodes

- The stay past which slack waits now falls with the number of initiators of the volume instead of all: a surge comes through all of them at once, and a volume of one or two initiators sees its node well.
- A part of a cold node's budget that is under one transaction is saved up for one, from a start by chance.
Before, an initiator of 140 sent nothing to a new node for 18 s.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,20 +20,17 @@
 /// The design's bound on shots out at one node for one initiator.
 const MOST_OUT: f64 = 20.0;
 /// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
-/// mechanism still has the choice. Even one shot from each initiator can be a queue: past the second figure
-/// slack waits. All others may send before this one hears of it, so it leaves the more room the more they
-/// are: alone it would wait for the third figure more.
+/// mechanism still has the choice. Even one shot from each initiator can be a queue, so slack waits past the
+/// second figure and, over the volume's initiators, the third: a surge comes through all of them at once.
 const NODE_PART: f64 = 0.1;
-const SLACK_PART: f64 = 0.3;
-const SLACK_ALONE: f64 = 1.5;
-/// What such a gate holds back looks again after this long.
-const LOOK: f64 = 0.05;
+const SLACK_PART: f64 = 0.2;
+const SLACK_ALONE: f64 = 1.0;
 /// The few seconds over which use is compared.
 const FEW: f64 = 3.0;
+/// Mean transactions in a large one.
+const LARGE: f64 = 3.0;
 /// Answers that the wider measure counts for where a narrower one has few.
 const PRIOR: f64 = 1.0;
-/// Shots beyond the bound that only the reserves may use, so that slack sent before does not delay them.
-const HEADROOM: f64 = 1.0;
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
@@ -115,6 +112,8 @@
     /// Units sent to it and units it settled, over the window of the rule on cold nodes.
     young: Ring,
     proved: Ring,
+    /// Units saved up for it while it is cold, and up to when.
+    saved: Option<(f64, f64)>,
 }
 
 impl Post {
@@ -146,7 +145,6 @@
     chance: WyRand,
     shortest: f64,
     fleet: Ring,
-    slack_part: f64,
     started: f64,
     transactions: BTreeMap<TransactionId, Transaction>,
     posts: BTreeMap<BlockId, Post>,
@@ -178,7 +176,6 @@
             chance: WyRand::new_seed(seed),
             shortest,
             started: now,
-            slack_part: SLACK_PART + SLACK_ALONE / set.initiators.max(1.0),
             fleet: Ring::new(0.25, 4),
             longest: vec![0.0; set.bands.len()],
             // One ring forgets a little early, the other a little late, so that neither helps the budget.
@@ -200,8 +197,7 @@
         out: &mut impl Outbox,
     ) {
         if scope == ListScope::Failed {
-            // The notice may mean a lost subscription, so ask again; spaced and jittered, because the
-            // register serves all initiators and a crowd of repeats would keep it from answering any.
+            // May mean a lost subscription. Spaced and jittered: a crowd of repeats would choke the register.
             self.failed_calls += 1;
             let wait =
                 0.5 * f64::from(1 << self.failed_calls.min(3)) * (0.75 + 0.5 * self.chance.generate::<f64>());
@@ -353,11 +349,9 @@
         }
         match to {
             State::Waiting => {
-                let volume = t.volume.clone();
-                let before = |held: &TransactionId| self.transactions[held].due <= due;
-                let line = post.lines.entry(volume).or_default();
-                let at = line.iter().rposition(before).map_or(0, |at| at + 1);
-                line.insert(at, id);
+                let line = post.lines.entry(t.volume.clone()).or_default();
+                let at = line.iter().rposition(|held| self.transactions[held].due <= due);
+                line.insert(at.map_or(0, |at| at + 1), id);
             }
             State::Again => post.again.push_back(id),
             State::Out | State::Over => {}
@@ -369,19 +363,19 @@
     fn pump(&mut self, now: f64, block: BlockId, out: &mut impl Outbox) {
         loop {
             let post = self.post(block);
-            if !post.ready || post.held() == 0.0 || post.out >= post.bound.floor() + HEADROOM {
+            if !post.ready || post.held() == 0.0 || post.out >= post.bound.floor() + 1.0 {
                 return;
             }
+            // The shot beyond the bound is the reserves' alone: slack sent before does not delay them.
             let (full, mut wake) = (post.out >= post.bound.floor(), post.next_try);
             let stay = self.stay(now, block);
             if now >= wake {
-                match self.pick(now, block, full || stay > self.slack_part) {
+                match self.pick(now, block, if full { f64::INFINITY } else { stay }) {
                     Ok(id) => {
                         self.send(now, id, out);
                         continue;
                     }
-                    Err(at) if stay <= self.slack_part => wake = at,
-                    Err(_) => wake = now + LOOK,
+                    Err(at) => wake = if stay > SLACK_PART { at.min(now + 0.05) } else { at },
                 }
             }
             let post = self.post(block);
@@ -403,8 +397,8 @@
         post.strain.blend(now, wide, PRIOR).max(silent)
     }
 
-    /// The next transaction for this node, or when to look again.
-    fn pick(&mut self, now: f64, block: BlockId, reserve_only: bool) -> Result<TransactionId, f64> {
+    /// The next transaction for this node, or when to look again; only of the reserves at an endless stay.
+    fn pick(&mut self, now: f64, block: BlockId, stay: f64) -> Result<TransactionId, f64> {
         let (mut look_again, mut best) = (f64::INFINITY, None);
         let cold = self.cold(now, block);
         let post = &self.posts[&block];
@@ -424,16 +418,16 @@
             } else {
                 self.rank(now, &name, self.transactions[&id].estimate)
             };
-            if (rank.0 == 0 || !reserve_only) && best.is_none_or(|(known, _)| rank < known) {
+            if (rank.0 == 0 || self.has_room(&name, stay)) && best.is_none_or(|(known, _)| rank < known) {
                 best = Some((rank, id));
             }
         }
-        if best.is_none() && !reserve_only {
+        if best.is_none() && stay < f64::INFINITY {
             for id in heads(&self.posts[&block].again) {
                 let volume = self.transactions[&id].volume.clone();
                 self.fill(now, &volume);
                 let at = self.ready_at(now, id);
-                if at <= now && self.may_send(now, id) {
+                if at <= now && self.has_room(&volume, stay) && self.may_send(now, id) {
                     return Ok(id);
                 }
                 look_again = look_again.min(at.max(now + 0.02));
@@ -442,15 +436,18 @@
         best.map(|(_, id)| id).ok_or(look_again)
     }
 
+    fn has_room(&self, name: &VolumeId, stay: f64) -> bool {
+        stay <= SLACK_PART + SLACK_ALONE / self.volumes[name].initiators
+    }
+
     /// Reserve first, by the time at which the bucket covers (or covered) the estimate; then slack, to the
     /// volume with the least charged time of the last few seconds for its weight.
     fn rank(&mut self, now: f64, name: &VolumeId, estimate: f64) -> (u8, f64) {
-        let share = self.reserve_share(name);
+        let (share, span) = self.reserve(name);
         let weight = self.plan(name).weight.max(0.01);
         let reserved = self.plan(name).reservation * self.unit_time;
         let volume = self.volumes.get_mut(name).unwrap();
-        // The bucket never holds more than a second's share, so a full one covers any estimate.
-        let wait = (estimate.min(share) - volume.reserve) / share.max(1e-9);
+        let wait = (estimate.min(span) - volume.reserve) / share.max(1e-9);
         if share > 0.0 && wait <= 0.0 {
             (0, wait)
         } else {
@@ -472,9 +469,11 @@
         volume.part = (ours + known / volume.initiators) / (ours + theirs + known);
     }
 
-    /// This initiator's part of the volume's reservation, in node time a second.
-    fn reserve_share(&self, name: &VolumeId) -> f64 {
-        self.plan(name).reservation * self.volumes[name].part * self.unit_time
+    /// This initiator's part of the volume's reservation, in node time a second, and what its bucket spans
+    /// either way: a second's share and a large transaction, as a share can be smaller than one transaction.
+    fn reserve(&self, name: &VolumeId) -> (f64, f64) {
+        let share = self.plan(name).reservation * self.volumes[name].part * self.unit_time;
+        (share, share + LARGE * self.set.mean_units.max(1.0) * self.unit_time)
     }
 
     fn plan(&self, name: &VolumeId) -> &Plan {
@@ -482,21 +481,20 @@
     }
 
     fn fill(&mut self, now: f64, name: &VolumeId) {
-        let share = self.reserve_share(name);
+        let (share, span) = self.reserve(name);
         let parts = self.volumes[name].initiators;
         let (rate, burst) = (self.plan(name).limit / parts, self.plan(name).burst / parts);
         let volume = self.volumes.get_mut(name).unwrap();
         let past = now - volume.filled_at;
         volume.filled_at = now;
-        volume.reserve = (volume.reserve + share * past).min(share);
+        volume.reserve = (volume.reserve + share * past).min(span);
         volume.limit = (volume.limit + rate * past).min(burst);
     }
 
-    /// Charged time; the reserve bucket stays within a second's share either way.
     fn charge(&mut self, now: f64, name: &VolumeId, time: f64) {
-        let share = self.reserve_share(name);
+        let (_, span) = self.reserve(name);
         let volume = self.volumes.get_mut(name).unwrap();
-        volume.reserve = (volume.reserve - time).clamp(-share.max(time), share);
+        volume.reserve = (volume.reserve - time).clamp(-span, span);
         volume.usage.add(now, time, 1.0);
     }
 
@@ -519,19 +517,18 @@
         post.out += 1.0;
         let likely = estimate * post.delays.mean(now, 1.0);
         post.young.add(now, units, 1.0);
+        post.saved = post.saved.map(|(saved, at)| (saved - units, at));
         t.shots += 1;
         let name = t.volume.clone();
-        // To the outer limit, as a node may go on with what is timed out. Only where many shots time out
-        // though others come back soon, answers get lost, and an early stop leaves time for another shot.
+        // To the outer limit, as a node may go on with what is timed out. Only where many time out though
+        // others come back soon, answers get lost, and an early stop leaves time for another shot.
         let stay = (STAYS * likely).max(self.set.bands[t.band.0].due / 3.0);
         let lossy = post.lost.mean(now, 0.0) > LOSSY && post.strain.mean(now, 1.0) < 0.3;
         let stop_at = if lossy { t.outer.min(now + stay) } else { t.outer };
         post.node.iter().for_each(|node| out.send(id, stop_at, node));
-        if t.shots > 1 {
-            self.further.add(now, 1.0, 1.0);
-        } else {
-            self.volumes.get_mut(&name).unwrap().limit -= units;
-        }
+        let (first, further) = if t.shots == 1 { (units, 0.0) } else { (0.0, 1.0) };
+        self.further.add(now, further, 1.0);
+        self.volumes.get_mut(&name).unwrap().limit -= first;
         self.charge(now, &name, estimate);
     }
 
@@ -674,7 +671,7 @@
         if limit > 0.0 && first && volume.limit < units {
             return now + (units - volume.limit) * volume.initiators / limit;
         }
-        if self.cold(now, block) && self.young_left(now, block) < units {
+        if self.cold(now, block) && !self.young_bears(now, block, units) {
             return now + 0.05;
         }
         now
@@ -687,19 +684,23 @@
             })
     }
 
-    /// What this initiator may still send a cold node within the rule's window: its even part of what the
-    /// node bears when it comes up, grown as evenly as the slowest node warms. Just after its own start it
-    /// knows nothing of what it sent before, so it counts the window as spent.
-    fn young_left(&mut self, now: f64, block: BlockId) -> f64 {
-        if now < self.started + self.set.overload_for {
-            return 0.0;
-        }
+    /// Whether a cold node bears this within the rule's window: an even part of what it bears when it is up,
+    /// grown as the slowest node warms. A part under a mean transaction is saved up for one, from a start by
+    /// chance, so that the initiators spread. Just up itself, this one may have spent its window before.
+    fn young_bears(&mut self, now: f64, block: BlockId, units: f64) -> bool {
         let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
-        let bears = self.set.young_units.max(self.set.mean_units) / self.set.initiators.max(1.0);
+        let (mean, window) = (self.set.mean_units.max(1.0), self.set.overload_for);
+        let bears = self.set.young_units.max(mean) / self.set.initiators.max(1.0);
+        let phase = self.chance.generate::<f64>();
         let post = self.posts.get_mut(&block).unwrap();
-        let age = (now - post.started - self.set.overload_for).clamp(0.0, warm);
-        let grown = bears * (1.0 + (1.0 / first - 1.0) * age / warm);
-        grown + PROOF * post.proved.sum(now) - post.young.sum(now)
+        let age = (now - post.started - window).clamp(0.0, warm);
+        let even = bears * (1.0 + (1.0 / first - 1.0) * age / warm);
+        let (saved, at) = post.saved.unwrap_or((phase * mean, now));
+        let saved = (saved + even * (now - at) / window).min(units.max(mean));
+        post.saved = Some((saved, now));
+        now >= self.started + window
+            && (even + PROOF * post.proved.sum(now) - post.young.sum(now) >= units
+                || (even < mean && saved >= units.max(mean)))
     }
 
     fn fresh_post(&self) -> Post {
