--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -101,6 +101,7 @@
         must_ask: pairs.0.get("RegistryMode") == Some(&"on_request"),
         start_capacity: pairs.number("Rules.StartCapacity")?,
         cold_for: pairs.number("Rules.Cold")?,
+        fall_multiple: pairs.number("Rules.FallMultiple")?,
         overload_for: pairs.number("Rules.OverloadFor")?,
         key_quiet: pairs.number("Rules.KeyQuiet")?,
         further: if look_back > 0.0 {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,20 +27,16 @@
 const SLACK_PART: f64 = 0.2;
 const SLACK_ALONE: f64 = 1.0;
 const RESERVE_PART: f64 = 1.5;
-/// The few seconds over which use is compared.
-const FEW: f64 = 3.0;
-/// Answers that the wider measure counts for where a narrower one has few.
-const PRIOR: f64 = 1.0;
+const FEW: f64 = 3.0; // seconds over which use is compared
+const PRIOR: f64 = 1.0; // answers that a wider measure counts for where a narrower one has few
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
-/// Part of what a cold node settled for us that it may be sent on top of its even budget: under one, since
-/// answers can cost it far less than the work they bring, and the budget must not run away.
-const PROOF: f64 = 0.6;
+/// Part of the rule's budget for a cold node that is claimed by what the node there settled before.
+const YOUNG_PART: f64 = 0.6;
 /// Transactions of one line that are looked at when those before them may not be sent yet.
 const LOOK_AHEAD: usize = 16;
-/// A single gap counts at most this many times what the node's pace makes likely, at least that part.
-const GAP_CLAMP: f64 = 3.0;
+const GAP_CLAMP: f64 = 3.0; // times what the node's pace makes likely, that a single gap counts at most
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
@@ -109,11 +105,13 @@
     stays: Ring,
     /// Shots that timed out, of all that ended.
     lost: Ring,
-    /// Units sent to it and units it settled, over the window of the rule on cold nodes.
+    /// Units sent to it over the window of the rule on cold nodes.
     young: Ring,
-    proved: Ring,
     /// Units saved up for it while it is cold, and up to when.
     saved: Option<(f64, f64)>,
+    /// Units that it settled, and how many a second when last it was warm.
+    settled: Ring,
+    usual: f64,
 }
 
 impl Post {
@@ -217,9 +215,9 @@
                 continue;
             }
             if !ours || self.posts[block].started != *started {
-                let Post { lines, again, out, .. } = self.posts.remove(block).unwrap_or_default();
+                let Post { lines, again, out, usual, .. } = self.posts.remove(block).unwrap_or_default();
                 let (node, out) = (Some(node.clone()), if ours { out } else { 0.0 });
-                let post = Post { node, started: *started, lines, again, out, ..self.fresh_post() };
+                let post = Post { node, started: *started, lines, again, out, usual, ..self.fresh_post() };
                 self.posts.insert(*block, post);
             }
             self.post(*block).ready = true;
@@ -532,6 +530,7 @@
         let t = &self.transactions[&id];
         let (estimate, units, block, name) = (t.estimate, t.units, t.block, t.volume.clone());
         let (stay, was_idle) = (delay / self.set.bands[t.band.0].due, t.was_idle);
+        let cold = self.cold(now, block);
         let post = self.posts.get_mut(&block).unwrap();
         if matches!(outcome, Outcome::Settled | Outcome::TimedOut) {
             self.fleet.add(now, stay, 1.0);
@@ -546,7 +545,8 @@
             Outcome::Settled => {
                 let gap = if was_idle { delay } else { (now - post.last_done).max(0.0) };
                 post.last_done = now;
-                post.proved.add(now, units, 1.0);
+                post.usual = if cold { post.usual } else { post.settled.sum(now) / FEW };
+                post.settled.add(now, units, 1.0);
                 post.gaps.add(now, gap, estimate);
                 post.delays.add(now, delay, estimate);
                 post.strain.add(now, stay, 1.0);
@@ -678,15 +678,15 @@
     }
 
     fn cold(&self, now: f64, block: BlockId) -> bool {
-        self.set.overload_for > 0.0
-            && self.posts.get(&block).is_some_and(|post| {
-                post.started > 0.0 && now < post.started + self.set.cold_for + self.set.overload_for
-            })
+        let started = self.posts.get(&block).map_or(0.0, |post| post.started);
+        let until = started + self.set.cold_for + self.set.overload_for;
+        self.set.overload_for > 0.0 && started > 0.0 && now < until
     }
 
-    /// Whether a cold node bears this within the rule's window: an even part of what it bears when it is up,
-    /// grown as the slowest node warms. A part under a mean transaction is saved up for one, from a start by
-    /// chance, so that the initiators spread. Just up itself, this one may have spent its window before.
+    /// Whether a cold node bears this in the rule's window: an even part of what it bears when just up, or if
+    /// more a part of what the node before settled for this initiator, grown as the slowest node warms: sums
+    /// that hold however many send. A part under a mean transaction is saved up for one, from a start by
+    /// chance, so that initiators spread. One that is just up may have spent its window before.
     fn young_bears(&mut self, now: f64, block: BlockId, units: f64) -> bool {
         let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
         let (mean, window) = (self.set.mean_units.max(1.0), self.set.overload_for);
@@ -694,13 +694,14 @@
         let phase = self.chance.generate::<f64>();
         let post = self.posts.get_mut(&block).unwrap();
         let age = (now - post.started - window).clamp(0.0, warm);
-        let even = bears * (1.0 + (1.0 / first - 1.0) * age / warm);
+        let warmth = first + (1.0 - first) * age / warm;
+        let usual = YOUNG_PART * self.set.fall_multiple * post.usual * window;
+        let part = (bears / first).max(usual) * warmth;
         let (saved, at) = post.saved.unwrap_or((phase * mean, now));
-        let saved = (saved + even * (now - at) / window).min(units.max(mean));
+        let saved = (saved + part * (now - at) / window).min(units.max(mean));
         post.saved = Some((saved, now));
         now >= self.started + window
-            && (even + PROOF * post.proved.sum(now) - post.young.sum(now) >= units
-                || (even < mean && saved >= units.max(mean)))
+            && (part - post.young.sum(now) >= units || (part < mean && saved >= units.max(mean)))
     }
 
     fn fresh_post(&self) -> Post {
@@ -710,7 +711,6 @@
             bound: (MOST_OUT / self.set.initiators.max(1.0)).max(1.0),
             strain: Ring::new(0.1, 5),
             young: Ring::new(overload_for / 8.0, 9),
-            proved: Ring::new(overload_for / 8.0, 8),
             ..Post::default()
         }
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -77,6 +77,7 @@
     pub must_ask: bool,
     pub start_capacity: f64,
     pub cold_for: f64,
+    pub fall_multiple: f64,
     pub overload_for: f64,
     pub key_quiet: f64,
     /// Share of the transactions taken, free shots, look-back; absent where no budget is stated.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -65,6 +65,7 @@
         must_ask: false,
         start_capacity: 0.2,
         cold_for: 10.0,
+        fall_multiple: 2.0,
         overload_for: 1.0,
         key_quiet: 0.1,
         further: None,
