Count late samples two due times at most, hold reserves past 1.2, start their buckets full

Reserve buckets start full: at size the first seconds of a pair of volume and initiator are most of what it does.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,10 +15,8 @@
 /// The design's starting estimates: a random unit of work against the due time, a run against a random one.
 const RANDOM_PART: f64 = 1.0 / 8.0;
 const RUN_PART: f64 = 0.1;
-/// Extents remembered for the run test; the node is shared, so only the very last are likely still warm.
-const RECENT: usize = 2;
-/// The design's bound on shots out at one node for one initiator.
-const MOST_OUT: f64 = 20.0;
+const RECENT: usize = 2; // extents remembered for the run test: other initiators push older ones out
+const MOST_OUT: f64 = 20.0; // the design's bound on shots out at one node for one initiator
 /// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
 /// mechanism still has the choice. Even one shot from each initiator can be a queue, so slack waits past the
 /// second figure and, over the volume's initiators, the third: a surge comes through all of them at once.
@@ -26,7 +24,7 @@
 const NODE_PART: f64 = 0.1;
 const SLACK_PART: f64 = 0.2;
 const SLACK_ALONE: f64 = 1.0;
-const RESERVE_PART: f64 = 1.5;
+const RESERVE_PART: f64 = 1.2;
 const FEW: f64 = 3.0; // seconds over which use is compared
 const PRIOR: f64 = 1.0; // answers that a wider measure counts for where a narrower one has few
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
@@ -34,8 +32,7 @@
 const STAYS: f64 = 4.0;
 /// Part of the rule's budget for a cold node that is claimed by what the node there settled before.
 const YOUNG_PART: f64 = 0.6;
-/// Transactions of one line that are looked at when those before them may not be sent yet.
-const LOOK_AHEAD: usize = 16;
+const LOOK_AHEAD: usize = 16; // transactions of a line that are looked at, if those before have to wait
 const GAP_CLAMP: f64 = 3.0; // times what the node's pace makes likely, that a single gap counts at most
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -237,7 +234,8 @@
         let limit = if self.began == Some(true) { burst / initiators } else { 0.0 };
         self.volumes.entry(volume.clone()).or_insert_with(|| {
             let part = 1.0 / initiators;
-            Volume { plan, initiators, limit, part, filled_at: now, ..Volume::default() }
+            let fresh = Volume { reserve: f64::INFINITY, filled_at: now, ..Volume::default() };
+            Volume { plan, initiators, limit, part, ..fresh }
         });
         // A client's repeat has less time left than a first try; what it spent counts against its due time.
         // More spent than a refusal and the advised wait explain is an impatient caller, not a repeat.
@@ -391,7 +389,9 @@
         let fleet = self.fleet.blend(now, 0.0, PRIOR);
         let post = self.posts.get_mut(&block).unwrap();
         let wide = post.stays.blend(now, fleet, PRIOR);
-        let silent = if post.out > 0.0 { (now - post.silent_since) / self.shortest } else { 0.0 };
+        // Not where answers get lost on the way: there shots are stopped early, and silence is no jam.
+        let waits = post.out > 0.0 && post.lost.mean(now, 0.0) <= LOSSY;
+        let silent = if waits { (now - post.silent_since) / self.shortest } else { 0.0 };
         post.strain.blend(now, wide, PRIOR).max(silent)
     }
 
@@ -399,10 +399,9 @@
     fn pick(&mut self, now: f64, block: BlockId, full: bool, stay: f64) -> Result<TransactionId, f64> {
         let (mut look_again, mut best) = (f64::INFINITY, None);
         let cold = self.cold(now, block);
-        let heads =
-            |line: &VecDeque<TransactionId>| line.iter().copied().take(LOOK_AHEAD).collect::<Vec<_>>();
+        let heads = |line: &VecDeque<TransactionId>| line.iter().copied().take(LOOK_AHEAD).collect();
         let post = &self.posts[&block];
-        let lines: Vec<_> = post.lines.values().chain([&post.again]).map(heads).collect();
+        let lines: Vec<Vec<_>> = post.lines.values().chain([&post.again]).map(heads).collect();
         for line in lines {
             let mut ready = |id: &TransactionId| {
                 let at = self.ready_at(now, *id);
@@ -529,7 +528,8 @@
     fn account(&mut self, now: f64, id: TransactionId, delay: f64, outcome: Outcome) {
         let t = &self.transactions[&id];
         let (estimate, units, block, name) = (t.estimate, t.units, t.block, t.volume.clone());
-        let (stay, was_idle) = (delay / self.set.bands[t.band.0].due, t.was_idle);
+        // Twice the due time at most, so that one lost answer among good ones does not look like a jam.
+        let (stay, was_idle) = ((delay / self.set.bands[t.band.0].due).min(2.0), t.was_idle);
         let cold = self.cold(now, block);
         let post = self.posts.get_mut(&block).unwrap();
         if matches!(outcome, Outcome::Settled | Outcome::TimedOut) {
