--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -140,7 +140,7 @@
     assert!(sends.contains(&sent), "{sent}");
 }
 
-// All of them at once: what the node always bears is 8 units in any second, what it can bear twice its first part.
+// All of them at once: the node always bears 8 units in any second.
 #[test_case(0.0 ; "just up")]
 #[test_case(2.0 ; "a little later")]
 fn a_hundred_initiators_send_a_cold_node_in_a_second(from: f64) {
@@ -215,3 +215,19 @@
     });
     assert_eq!(rig.sent(), sends);
 }
+
+// Rule 1 over a stall: a long list, thousands taken at once, no turn for three seconds, then all timers late.
+#[test]
+fn a_backlog_after_a_stall_is_answered_once_each() {
+    let mut rig = Rig::new(100.0, settings());
+    let names: Vec<_> = (0..300).map(|at| (format!("n{at}"), at)).collect();
+    rig.list(Whole, &names.iter().map(|(name, at)| (name.as_str(), *at, Ready, 0.0)).collect::<Vec<_>>());
+    for id in 0..4000 {
+        rig.take(id, id as usize % 4, id as usize % 3, 2.0, Some(id as i64 % 310));
+    }
+    rig.at(103.0).run(104.0);
+    let seen = rig.seen();
+    let ids: std::collections::BTreeSet<_> =
+        seen.iter().map(|line| line.split(' ').nth(1).unwrap()).collect();
+    assert_eq!((ids.len(), seen.len()), (4000, 4000));
+}
