Let slack wait past 0.15 due times, and a wider measure of the stay count for two answers

Cause: at size the fresh half second holds one or two answers, whose chance opened and closed nodes for slack.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,11 +22,11 @@
 /// second figure and, over the volume's initiators, the third: a surge comes through all of them at once.
 /// Past the last the reserves wait too, or the one shot of each initiator keeps a jam up without end.
 const NODE_PART: f64 = 0.1;
-const SLACK_PART: f64 = 0.2;
+const SLACK_PART: f64 = 0.15;
 const SLACK_ALONE: f64 = 1.0;
 const RESERVE_PART: f64 = 1.2;
 const FEW: f64 = 3.0; // seconds over which use is compared
-const PRIOR: f64 = 1.0; // answers that a wider measure counts for where a narrower one has few
+const PRIOR: f64 = 2.0; // answers that a wider measure counts for where a narrower one has few
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
