--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -216,7 +216,7 @@
     assert_eq!(rig.sent(), sends);
 }
 
-// Rule 1 over a stall: a long list, thousands taken at once, no turn for three seconds, then all timers late.
+// Rule 1: a long list, thousands taken at once, no turn for three seconds, then all timers late.
 #[test]
 fn a_backlog_after_a_stall_is_answered_once_each() {
     let mut rig = Rig::new(100.0, settings());
