--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -340,8 +340,10 @@
         }
         "ACK_FIRST" => {
             fields.exactly(4)?;
-            // Nothing is decided on these three yet: no band streams, no node is probed, no initiator talks.
+            // Nothing is decided on this, a probe or a peer yet: what is read is only checked.
             transaction(0)?;
+            fields.needed::<u32>(1, "Try")?;
+            fields.node(2)?;
         }
         "RETURNED" => {
             fields.exactly(9)?;
@@ -369,11 +371,19 @@
         }
         "PROBED" => {
             fields.exactly(4)?;
+            fields.node(0)?;
             fields.outcome(1)?;
+            fields.time(2, "DelaySeen")?;
+            fields.report(3)?;
         }
         "PEER" => {
             fields.exactly(2)?;
             fields.needed::<u64>(0, "Author")?;
+            let hex = fields.text(1).unwrap_or("");
+            let byte = |at| hex.get(at..at + 2).and_then(|pair| u8::from_str_radix(pair, 16).ok());
+            if !(0..hex.len()).step_by(2).all(|at| byte(at).is_some()) {
+                return Err(format!("PEER: field Payload: cannot read '{hex}'"));
+            }
         }
         other => return Err(format!("{other}: unknown event")),
     }
--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -41,6 +41,7 @@
 #[test_case("SWITCH_TO initiator/0\nBLINK 1\nEOF_BATCH", "line 11: BLINK: unknown event" ; "an unknown event")]
 #[test_case("SWITCH_TO initiator/0\nRING x\nEOF_BATCH", "line 11: RING: field Tag: cannot read 'x'" ; "a bad field")]
 #[test_case("SWITCH_TO initiator/0\nLAPSED 1 2\nEOF_BATCH", "line 11: LAPSED: 2 fields, 1 expected" ; "a field too many")]
+#[test_case("SWITCH_TO initiator/0\nPEER 2 6x\nEOF_BATCH", "line 11: PEER: field Payload: cannot read '6x'" ; "a bad payload")]
 #[test_case("RING 1\nEOF_BATCH", "line 10: RING: no SWITCH_TO before it" ; "nobody named")]
 #[test_case("SWITCH_TO initiator/3\nRING 1\nEOF_BATCH", "line 11: RING: initiator/3 has not started" ; "not started")]
 #[test_case("SWITCH_TO initiator/1\nSTART 5 Grades.count=0\nEOF_BATCH",
