--- a/src/brain.rs
+++ b/src/brain.rs
@@ -164,6 +164,8 @@
             out.subscribe(true);
         }
         set.plans.push(Plan::default()); // that of a volume without a plan
+        set.initiators = set.initiators.max(1.0);
+        set.mean_units = set.mean_units.max(1.0);
         let shortest = set.bands.iter().map(|band| band.due).fold(f64::INFINITY, f64::min);
         let look_back = set.further.map_or(1.0, |(_, _, look_back)| look_back);
         Brain {
@@ -175,7 +177,7 @@
             // One ring forgets a little early, the other a little late, so that neither helps the budget.
             taken: Ring::new(look_back / 50.0, 50),
             further: Ring::new(look_back / 50.0, 52),
-            unit_time: shortest.min(1e3) * RANDOM_PART / set.mean_units.max(1.0),
+            unit_time: shortest.min(1e3) * RANDOM_PART / set.mean_units,
             transactions: BTreeMap::new(),
             posts: BTreeMap::new(),
             volumes: BTreeMap::new(),
@@ -193,8 +195,7 @@
         if scope == ListScope::Failed {
             // May mean a lost subscription. Spaced and jittered: a crowd of repeats would choke the register.
             self.failed_calls += 1;
-            let wait =
-                0.5 * f64::from(1 << self.failed_calls.min(3)) * (0.75 + 0.5 * self.chance.generate::<f64>());
+            let wait = 0.5 * f64::from(1 << self.failed_calls.min(3)) * self.spread();
             return out.set_timer(wait, TAG_ASK);
         }
         self.failed_calls = 0;
@@ -233,9 +234,8 @@
         // Empty unless all was seen from the beginning: a restart must not hand out a second burst.
         let limit = if self.began == Some(true) { burst / initiators } else { 0.0 };
         self.volumes.entry(volume.clone()).or_insert_with(|| {
-            let part = 1.0 / initiators;
             let fresh = Volume { reserve: f64::INFINITY, filled_at: now, ..Volume::default() };
-            Volume { plan, initiators, limit, part, ..fresh }
+            Volume { plan, initiators, limit, part: 1.0 / initiators, ..fresh }
         });
         // A client's repeat has less time left than a first try; what it spent counts against its due time.
         // More spent than a refusal and the advised wait explain is an impatient caller, not a repeat.
@@ -364,8 +364,8 @@
             }
             // The shot beyond the bound is the reserves' alone: slack sent before does not delay them.
             let (full, mut wake) = (post.out >= post.bound.floor(), post.next_try);
-            let stay = self.stay(now, block);
             if now >= wake {
+                let stay = self.stay(now, block);
                 match self.pick(now, block, full, stay) {
                     Ok(id) => {
                         self.send(now, id, out);
@@ -457,7 +457,7 @@
         let recent = last.map_or(0.0, |last| (FEW / (now - last).max(1e-3)).min(1.0));
         volume.theirs.add(now, others * recent * self.unit_time, 1.0);
         let (ours, theirs) = (volume.usage.sum(now).max(0.0), volume.theirs.sum(now));
-        let known = 2.0 * self.set.mean_units.max(1.0) * self.unit_time;
+        let known = 2.0 * self.set.mean_units * self.unit_time;
         volume.part = (ours + known / volume.initiators) / (ours + theirs + known);
     }
 
@@ -465,7 +465,7 @@
     /// either way: a second's share and a large transaction, as a share can be smaller than one transaction.
     fn reserve(&self, name: &VolumeId) -> (f64, f64) {
         let share = self.plan(name).reservation * self.volumes[name].part * self.unit_time;
-        (share, share + 3.0 * self.set.mean_units.max(1.0) * self.unit_time)
+        (share, share + 3.0 * self.set.mean_units * self.unit_time)
     }
 
     fn plan(&self, name: &VolumeId) -> &Plan {
@@ -492,9 +492,8 @@
 
     fn send(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
         self.shift(id, State::Out);
-        let units = self.transactions[&id].units;
-        let mut estimate = units * self.unit_time;
         let t = self.transactions.get_mut(&id).unwrap();
+        let mut estimate = t.units * self.unit_time;
         let post = self.posts.get_mut(&t.block).unwrap();
         if let Some(extent) = &t.extent {
             if t.shots == 0 && post.recent.contains(extent) {
@@ -508,8 +507,8 @@
         post.silent_since = if post.out == 0.0 { now } else { post.silent_since };
         post.out += 1.0;
         let likely = estimate * post.delays.mean(now, 1.0);
-        post.young.add(now, units, 1.0);
-        post.saved = post.saved.map(|(saved, at)| (saved - units, at));
+        post.young.add(now, t.units, 1.0);
+        post.saved = post.saved.map(|(saved, at)| (saved - t.units, at));
         t.shots += 1;
         let name = t.volume.clone();
         // To the outer limit, as a node may go on with what is timed out. Only where many time out though
@@ -518,7 +517,7 @@
         let lossy = post.lost.mean(now, 0.0) > LOSSY && post.strain.mean(now, 1.0) < 0.3;
         let stop_at = if lossy { t.outer.min(now + stay) } else { t.outer };
         post.node.iter().for_each(|node| out.send(id, stop_at, node));
-        let (first, further) = if t.shots == 1 { (units, 0.0) } else { (0.0, 1.0) };
+        let (first, further) = if t.shots == 1 { (t.units, 0.0) } else { (0.0, 1.0) };
         self.further.add(now, further, 1.0);
         self.volumes.get_mut(&name).unwrap().limit -= first;
         self.charge(now, &name, estimate);
@@ -569,7 +568,7 @@
             _ if lost && (outcome == Outcome::Unreachable || post.misses >= 3) => {
                 post.bound = 1.0;
                 let wait = 0.05 * f64::from(1 << post.misses.min(5));
-                self.post(block).next_try = now + wait * (0.75 + 0.5 * self.chance.generate::<f64>());
+                self.post(block).next_try = now + wait * self.spread();
             }
             // An error, however fast, is charged as estimated and says nothing of the node's pace.
             _ => {}
@@ -611,10 +610,9 @@
 
     fn end(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
         let Some(t) = self.transactions.get(&id) else { return };
-        if t.state != State::Over {
-            self.shift(id, State::Over);
-        }
-        if self.transactions[&id].shot_out {
+        let shot_out = t.shot_out;
+        self.shift(id, State::Over);
+        if shot_out {
             return;
         }
         let Some(extent) = self.transactions.remove(&id).and_then(|t| t.extent) else { return };
@@ -689,8 +687,8 @@
     /// chance, so that initiators spread. One that is just up may have spent its window before.
     fn young_bears(&mut self, now: f64, block: BlockId, units: f64) -> bool {
         let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
-        let (mean, window) = (self.set.mean_units.max(1.0), self.set.overload_for);
-        let bears = self.set.young_units.max(mean) / self.set.initiators.max(1.0);
+        let (mean, window) = (self.set.mean_units, self.set.overload_for);
+        let bears = self.set.young_units.max(mean) / self.set.initiators;
         let phase = self.chance.generate::<f64>();
         let post = self.posts.get_mut(&block).unwrap();
         let age = (now - post.started - window).clamp(0.0, warm);
@@ -704,13 +702,16 @@
             && (part - post.young.sum(now) >= units || (part < mean && saved >= units.max(mean)))
     }
 
+    fn spread(&mut self) -> f64 {
+        0.75 + 0.5 * self.chance.generate::<f64>()
+    }
+
     fn fresh_post(&self) -> Post {
-        let overload_for = self.set.overload_for.max(0.1);
         Post {
             // The design's bound is one host's at a disk of its own; here all initiators share the node.
-            bound: (MOST_OUT / self.set.initiators.max(1.0)).max(1.0),
+            bound: (MOST_OUT / self.set.initiators).max(1.0),
             strain: Ring::new(0.1, 5),
-            young: Ring::new(overload_for / 8.0, 9),
+            young: Ring::new(self.set.overload_for.max(0.1) / 8.0, 9),
             ..Post::default()
         }
     }
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -31,23 +31,25 @@
         self.buckets[at].1 += weight;
     }
 
+    fn totals(&mut self, now: f64) -> (f64, f64) {
+        self.turn(now);
+        self.buckets.iter().fold((0.0, 0.0), |all, bucket| (all.0 + bucket.0, all.1 + bucket.1))
+    }
+
     /// What was added over the whole ring: between `length - 1` and `length` widths back.
     pub fn sum(&mut self, now: f64) -> f64 {
-        self.turn(now);
-        self.buckets.iter().map(|bucket| bucket.0).sum()
+        self.totals(now).0
     }
 
     /// The mean with a prior that counts as much as `weight`.
     pub fn blend(&mut self, now: f64, prior: f64, weight: f64) -> f64 {
-        let amount = self.sum(now);
-        let known: f64 = self.buckets.iter().map(|bucket| bucket.1).sum();
+        let (amount, known) = self.totals(now);
         (amount + prior * weight) / (known + weight)
     }
 
     /// The sum over the weights, or `empty` where nothing was weighed.
     pub fn mean(&mut self, now: f64, empty: f64) -> f64 {
-        let amount = self.sum(now);
-        let weight: f64 = self.buckets.iter().map(|bucket| bucket.1).sum();
+        let (amount, weight) = self.totals(now);
         if weight > 0.0 {
             amount / weight
         } else {
