The first part of the NVMe/TCP subset: PDUs, commands, both connection state machines

Need: the running initiator and its stand-ins speak NVMe over TCP; the protocol has to be testable without sockets. Change: crates/nvme takes bytes and gives bytes and events; a command id stays taken until its late answer has come; lengths are bounded before a body is waited for.

--- /dev/null
+++ b/crates/nvme/src/controller.rs
@@ -0,0 +1,268 @@
+//! The controller's end of one queue's connection: a state machine that takes bytes and gives events.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::command::{connect_fields, opcode, Cqe, Sqe};
+use crate::host::lengths;
+use crate::pdu::{fatal, refused, DataPart, Decoder, Pdu, Refused};
+use crate::{status, MAX_DATA, MAX_H2C, QUEUE_SIZE};
+
+/// Write data gathered at once on one connection, bytes; further writes wait for their R2T. Bounds what one
+/// peer can make this end hold.
+const MOST_GATHERED: usize = 4 << 20;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Waits for ICReq.
+    Fresh,
+    /// Waits for the Connect command.
+    Initialized,
+    /// The driver has the Connect and has not answered.
+    Connecting,
+    Ready,
+    Closed,
+}
+
+#[derive(Debug)]
+pub enum Event {
+    /// A Connect, answered with [`Controller::accept`] or [`Controller::refuse`].
+    Connect { queue: u16, controller: u16, subsystem: String, host: String },
+    /// A command with all its data.
+    Command { sqe: Sqe, data: Vec<u8> },
+    /// The host ended the connection.
+    Terminated { status: u16, info: u32 },
+}
+
+#[derive(Debug)]
+struct Gathering {
+    sqe: Sqe,
+    data: Vec<u8>,
+    length: usize,
+    asked: usize,
+}
+
+/// One queue of one host. `out` holds bytes for the socket.
+#[derive(Debug)]
+pub struct Controller {
+    state: State,
+    decoder: Decoder,
+    queue: u16,
+    size: u16,
+    connect_cid: u16,
+    head: u16,
+    /// Commands taken and not answered, with their opcodes.
+    open: BTreeMap<u16, Sqe>,
+    gathering: BTreeMap<u16, Gathering>,
+    waiting: VecDeque<u16>,
+    gathered: usize,
+    pub out: Vec<u8>,
+}
+
+impl Default for Controller {
+    fn default() -> Self {
+        Controller {
+            state: State::Fresh,
+            decoder: Decoder::default(),
+            queue: 0,
+            size: QUEUE_SIZE,
+            connect_cid: 0,
+            head: 0,
+            open: BTreeMap::new(),
+            gathering: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            gathered: 0,
+            out: Vec::new(),
+        }
+    }
+}
+
+impl Controller {
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    pub fn queue(&self) -> u16 {
+        self.queue
+    }
+
+    /// Bytes of an unfinished PDU, and writes that wait for the rest of their data: a host that stays like this
+    /// is closed by time.
+    pub fn unfinished(&self) -> bool {
+        self.decoder.pending() > 0 || !self.gathering.is_empty() || self.state != State::Ready
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Takes bytes from the socket. After an error the connection is of no use; `out` ends with the term
+    /// request that says why.
+    pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), Refused> {
+        if self.state == State::Closed {
+            return Ok(());
+        }
+        self.decoder.feed(bytes);
+        let done = loop {
+            match self.decoder.next_pdu() {
+                Ok(Some(pdu)) => {
+                    if let Err(why) = self.take(pdu, events) {
+                        break Err(why);
+                    }
+                }
+                Ok(None) => break Ok(()),
+                Err(why) => break Err(why),
+            }
+        };
+        if let Err(why) = &done {
+            self.shift(State::Closed);
+            Pdu::C2hTerm { status: why.status, info: why.info }.encode(&mut self.out);
+        }
+        done
+    }
+
+    fn shift(&mut self, to: State) {
+        self.state = to;
+    }
+
+    fn take(&mut self, pdu: Pdu, events: &mut Vec<Event>) -> Result<(), Refused> {
+        match (self.state, pdu) {
+            (_, Pdu::H2cTerm { status, info }) => {
+                self.shift(State::Closed);
+                events.push(Event::Terminated { status, info });
+            }
+            (State::Fresh, Pdu::IcReq { pfv, .. }) => {
+                if pfv != 0 {
+                    return refused(fatal::INVALID_HEADER, 8, "ICReq is of an unknown format version");
+                }
+                // Digests are not offered back, so none is used whatever the host would like.
+                Pdu::IcResp { pfv: 0, cpda: 0, digest: 0, max_h2c: MAX_H2C as u32 }.encode(&mut self.out);
+                self.shift(State::Initialized);
+            }
+            (State::Initialized, Pdu::Command { sqe, data }) => self.connect(sqe, &data, events)?,
+            (State::Ready, Pdu::Command { sqe, data }) => self.command(sqe, data, events)?,
+            (State::Ready, Pdu::H2cData(part)) => self.data(part, events)?,
+            _ => return refused(fatal::SEQUENCE, 0, "PDU does not belong in this state of the connection"),
+        }
+        Ok(())
+    }
+
+    fn connect(&mut self, sqe: Sqe, data: &[u8], events: &mut Vec<Event>) -> Result<(), Refused> {
+        let (queue, size) = sqe.connects();
+        self.connect_cid = sqe.cid;
+        let connects = sqe.opcode == opcode::FABRICS && sqe.nsid as u8 == opcode::CONNECT;
+        let Some((controller, subsystem, host)) = connect_fields(data).filter(|_| connects) else {
+            return refused(fatal::SEQUENCE, 8, "the first command is not a whole Connect");
+        };
+        if !(2..=u32::from(QUEUE_SIZE)).contains(&size) {
+            self.refuse(status::CONNECT_INVALID | status::DNR);
+            return Ok(());
+        }
+        (self.queue, self.size) = (queue, size as u16);
+        self.shift(State::Connecting);
+        events.push(Event::Connect { queue, controller, subsystem, host });
+        Ok(())
+    }
+
+    /// Answers the Connect: the queue belongs to this controller.
+    pub fn accept(&mut self, controller: u16) {
+        if self.state == State::Connecting {
+            self.shift(State::Ready);
+            let cqe = Cqe { dw0: u32::from(controller), cid: self.connect_cid, ..Cqe::default() };
+            Pdu::Response(cqe).encode(&mut self.out);
+        }
+    }
+
+    /// Answers the Connect with a status; the connection is of no further use.
+    pub fn refuse(&mut self, status: u16) {
+        self.shift(State::Closed);
+        Pdu::Response(Cqe { cid: self.connect_cid, status, ..Cqe::default() }).encode(&mut self.out);
+    }
+
+    fn command(&mut self, sqe: Sqe, data: Vec<u8>, events: &mut Vec<Event>) -> Result<(), Refused> {
+        if self.open.len() + 1 >= usize::from(self.size) {
+            return refused(fatal::LIMIT, 8, "more commands than the queue has entries");
+        }
+        if self.open.contains_key(&sqe.cid) {
+            return refused(fatal::SEQUENCE, 10, "a command id is used again before its answer");
+        }
+        let (length, _) = lengths(&sqe);
+        if length > MAX_DATA || (length > 0 && sqe.sgl_length() != Some(length)) {
+            self.open.insert(sqe.cid, sqe);
+            self.respond(
+                Cqe { cid: sqe.cid, status: status::INVALID_FIELD | status::DNR, ..Cqe::default() },
+                &[],
+            );
+            return Ok(());
+        }
+        self.open.insert(sqe.cid, sqe);
+        if length == 0 || data.len() == length {
+            events.push(Event::Command { sqe, data });
+        } else if data.is_empty() {
+            self.gathering.insert(sqe.cid, Gathering { sqe, data: Vec::new(), length, asked: 0 });
+            self.waiting.push_back(sqe.cid);
+            self.ask();
+        } else {
+            return refused(fatal::OUT_OF_RANGE, 4, "a write carries less data than it states");
+        }
+        Ok(())
+    }
+
+    /// Sends R2T for writes that wait, as far as the bound on gathered data allows.
+    fn ask(&mut self) {
+        while let Some(cid) = self.waiting.front().copied() {
+            let Some(write) = self.gathering.get_mut(&cid) else {
+                self.waiting.pop_front();
+                continue;
+            };
+            if self.gathered > 0 && self.gathered + write.length > MOST_GATHERED {
+                return;
+            }
+            self.gathered += write.length;
+            write.asked = write.length.min(MAX_H2C);
+            let r2t = Pdu::R2t { cid, ttag: cid, offset: 0, length: write.asked as u32 };
+            r2t.encode(&mut self.out);
+            self.waiting.pop_front();
+        }
+    }
+
+    fn data(&mut self, part: DataPart, events: &mut Vec<Event>) -> Result<(), Refused> {
+        let Some(write) = self.gathering.get_mut(&part.cid) else {
+            return refused(fatal::SEQUENCE, 8, "data for a command that waits for none");
+        };
+        let end = write.data.len() + part.data.len();
+        if part.offset as usize != write.data.len() || end > write.asked || part.ttag != part.cid {
+            return refused(fatal::OUT_OF_RANGE, 12, "data outside what R2T asked for, or out of order");
+        }
+        write.data.extend_from_slice(&part.data);
+        if end == write.length {
+            let Gathering { sqe, data, length, .. } = self.gathering.remove(&part.cid).unwrap();
+            self.gathered -= length;
+            events.push(Event::Command { sqe, data });
+            self.ask();
+        } else if end == write.asked {
+            let (offset, length) = (write.asked, (write.length - write.asked).min(MAX_H2C));
+            write.asked += length;
+            let r2t =
+                Pdu::R2t { cid: part.cid, ttag: part.cid, offset: offset as u32, length: length as u32 };
+            r2t.encode(&mut self.out);
+        }
+        Ok(())
+    }
+
+    /// Answers a command, data of a read first. Nothing is sent where the command is not open.
+    pub fn respond(&mut self, mut cqe: Cqe, data: &[u8]) {
+        if self.open.remove(&cqe.cid).is_none() || self.state == State::Closed {
+            return;
+        }
+        self.head = (self.head + 1) % self.size;
+        (cqe.sq_head, cqe.sq_id) = (self.head, self.queue);
+        let mut pieces = data.chunks(MAX_H2C).enumerate().peekable();
+        while let Some((at, piece)) = pieces.next() {
+            let (offset, last) = ((at * MAX_H2C) as u32, pieces.peek().is_none());
+            let data = piece.to_vec();
+            Pdu::C2hData(DataPart { cid: cqe.cid, ttag: 0, offset, last, success: false, data })
+                .encode(&mut self.out);
+        }
+        Pdu::Response(cqe).encode(&mut self.out);
+    }
+}
--- /dev/null
+++ b/crates/nvme/src/host.rs
@@ -0,0 +1,285 @@
+//! The host's end of one queue's connection: a state machine that takes bytes and gives events.
+//!
+//! A command id names a slot of the queue. It stays taken until its command's completion has come, also when
+//! nobody waits for that any more ([`Host::forget`]): a late answer must not be read as another command's.
+
+use crate::command::{connect_data, opcode, Cqe, Sqe, CONNECT_LEN};
+use crate::pdu::{fatal, refused, DataPart, Decoder, Pdu, Refused};
+use crate::{IN_CAPSULE, MAX_DATA, MAX_H2C};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// ICReq is out.
+    Initializing,
+    /// The Connect command is out.
+    Connecting,
+    Ready,
+    /// A term request, a refusal or a protocol error ended it.
+    Closed,
+}
+
+#[derive(Debug)]
+pub enum Event {
+    /// The queue can take commands; the controller's id is for the association's other queues.
+    Ready { controller: u16 },
+    /// The controller refused the Connect with this status.
+    Refused { status: u16 },
+    /// A command that the caller waits for is complete; `data` is what a read brought.
+    Done { cid: u16, cqe: Cqe, data: Vec<u8> },
+    /// The completion of a forgotten command came, and was dropped.
+    Late { cid: u16 },
+    /// The controller ended the connection.
+    Terminated { status: u16, info: u32 },
+}
+
+#[derive(Debug, Default)]
+enum Slot {
+    #[default]
+    Free,
+    Taken {
+        /// Nobody waits for it; its completion only frees the slot.
+        forgotten: bool,
+        /// Write data that R2T has yet to ask for.
+        outgoing: Vec<u8>,
+        incoming: Vec<u8>,
+        expected: usize,
+    },
+}
+
+/// One queue at one controller. `out` holds bytes for the socket that the machine itself produced.
+#[derive(Debug)]
+pub struct Host {
+    state: State,
+    decoder: Decoder,
+    slots: Vec<Slot>,
+    next: usize,
+    taken: usize,
+    forgotten: usize,
+    max_h2c: usize,
+    pub out: Vec<u8>,
+    connect: Option<(Sqe, Vec<u8>)>,
+}
+
+impl Host {
+    /// Starts connecting queue `queue` with `size` entries; `controller` is the id that the admin queue was
+    /// given, or [`crate::command::ANY_CONTROLLER`] on the admin queue itself.
+    pub fn start(queue: u16, size: u16, controller: u16, subsystem: &str, host: &str) -> Self {
+        let mut out = Vec::new();
+        Pdu::IcReq { pfv: 0, hpda: 0, digest: 0, max_r2t: 0 }.encode(&mut out);
+        let mut id = [0; 16];
+        for (at, byte) in host.bytes().enumerate() {
+            id[at % 16] ^= byte;
+        }
+        let connect = Sqe::connect(queue, size, 0).with_data(CONNECT_LEN, true);
+        Host {
+            state: State::Initializing,
+            decoder: Decoder::default(),
+            slots: (0..size.max(2)).map(|_| Slot::Free).collect(),
+            next: 0,
+            taken: 0,
+            forgotten: 0,
+            max_h2c: MAX_H2C,
+            out,
+            connect: Some((connect, connect_data(id, controller, subsystem, host))),
+        }
+    }
+
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Commands out whose completion somebody waits for.
+    pub fn live(&self) -> usize {
+        self.taken - self.forgotten
+    }
+
+    /// Slots held by commands that nobody waits for any more.
+    pub fn forgotten(&self) -> usize {
+        self.forgotten
+    }
+
+    pub fn has_room(&self) -> bool {
+        self.state == State::Ready && self.taken + 1 < self.slots.len()
+    }
+
+    /// Bytes of an unfinished PDU from the controller.
+    pub fn pending(&self) -> usize {
+        self.decoder.pending()
+    }
+
+    /// Takes a slot for a command and encodes it; none where no slot is free or the queue is not ready. `data`
+    /// goes with a write: in the capsule if it fits, when asked for otherwise. `expected` is what a read
+    /// brings, bytes. Until the bytes go out, [`Host::withdraw`] takes the command back as never sent.
+    pub fn submit(&mut self, sqe: Sqe, data: Vec<u8>, expected: usize) -> Option<(u16, Vec<u8>)> {
+        if !self.has_room() || data.len() > MAX_DATA || expected > MAX_DATA {
+            return None;
+        }
+        let size = self.slots.len();
+        let at = (0..size)
+            .map(|step| (self.next + step) % size)
+            .find(|at| matches!(self.slots[*at], Slot::Free))?;
+        self.next = (at + 1) % size;
+        self.taken += 1;
+        let mut bytes = Vec::with_capacity(72 + data.len().min(IN_CAPSULE));
+        let mut sqe = Sqe { cid: at as u16, ..sqe };
+        let (inside, outside) =
+            if data.len() <= IN_CAPSULE { (data, Vec::new()) } else { (Vec::new(), data) };
+        if expected > 0 || !outside.is_empty() {
+            sqe = sqe.with_data(expected.max(outside.len()), false);
+        } else if !inside.is_empty() {
+            sqe = sqe.with_data(inside.len(), true);
+        }
+        Pdu::Command { sqe, data: inside }.encode(&mut bytes);
+        self.slots[at] = Slot::Taken { forgotten: false, outgoing: outside, incoming: Vec::new(), expected };
+        Some((at as u16, bytes))
+    }
+
+    /// Frees the slot of a command none of whose bytes left.
+    pub fn withdraw(&mut self, cid: u16) {
+        if let Some(Slot::Taken { forgotten, .. }) = self.slots.get(cid as usize) {
+            self.forgotten -= usize::from(*forgotten);
+            self.slots[cid as usize] = Slot::Free;
+            self.taken -= 1;
+        }
+    }
+
+    /// Nobody waits for this command any more; its slot stays taken until the controller answers.
+    pub fn forget(&mut self, cid: u16) {
+        if let Some(Slot::Taken { forgotten, .. }) = self.slots.get_mut(cid as usize) {
+            self.forgotten += usize::from(!*forgotten);
+            *forgotten = true;
+        }
+    }
+
+    /// Takes bytes from the socket. After an error the connection is of no use; `out` ends with the term
+    /// request that says why.
+    pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), Refused> {
+        if self.state == State::Closed {
+            return Ok(());
+        }
+        self.decoder.feed(bytes);
+        let done = loop {
+            match self.decoder.next_pdu() {
+                Ok(Some(pdu)) => {
+                    if let Err(why) = self.take(pdu, events) {
+                        break Err(why);
+                    }
+                }
+                Ok(None) => break Ok(()),
+                Err(why) => break Err(why),
+            }
+        };
+        if let Err(why) = &done {
+            self.shift(State::Closed);
+            Pdu::H2cTerm { status: why.status, info: why.info }.encode(&mut self.out);
+        }
+        done
+    }
+
+    fn shift(&mut self, to: State) {
+        self.state = to;
+    }
+
+    fn take(&mut self, pdu: Pdu, events: &mut Vec<Event>) -> Result<(), Refused> {
+        match (self.state, pdu) {
+            (_, Pdu::C2hTerm { status, info }) => {
+                self.shift(State::Closed);
+                events.push(Event::Terminated { status, info });
+            }
+            (State::Initializing, Pdu::IcResp { pfv, digest, max_h2c, .. }) => {
+                if pfv != 0 || digest != 0 || max_h2c < 4096 {
+                    return refused(fatal::INVALID_HEADER, 8, "ICResp asks for what was not offered");
+                }
+                self.max_h2c = (max_h2c as usize).min(MAX_DATA);
+                if let Some((sqe, data)) = self.connect.take() {
+                    Pdu::Command { sqe, data }.encode(&mut self.out);
+                }
+                self.shift(State::Connecting);
+            }
+            (State::Connecting, Pdu::Response(cqe)) => {
+                if cqe.status != 0 {
+                    self.shift(State::Closed);
+                    events.push(Event::Refused { status: cqe.status });
+                } else {
+                    self.shift(State::Ready);
+                    events.push(Event::Ready { controller: cqe.dw0 as u16 });
+                }
+            }
+            (State::Ready, Pdu::Response(cqe)) => self.complete(cqe, events)?,
+            (State::Ready, Pdu::C2hData(part)) => self.data(part, events)?,
+            (State::Ready, Pdu::R2t { cid, ttag, offset, length }) => {
+                self.ready(cid, ttag, offset, length)?
+            }
+            _ => return refused(fatal::SEQUENCE, 0, "PDU does not belong in this state of the connection"),
+        }
+        Ok(())
+    }
+
+    fn complete(&mut self, cqe: Cqe, events: &mut Vec<Event>) -> Result<(), Refused> {
+        let Some(slot) = self.slots.get_mut(cqe.cid as usize) else {
+            return refused(fatal::OUT_OF_RANGE, 20, "completion names a command id beyond the queue");
+        };
+        match std::mem::take(slot) {
+            Slot::Free => refused(fatal::SEQUENCE, 20, "completion for a command that is not out"),
+            Slot::Taken { forgotten, incoming, expected, .. } => {
+                self.taken -= 1;
+                self.forgotten -= usize::from(forgotten);
+                if forgotten {
+                    events.push(Event::Late { cid: cqe.cid });
+                } else if cqe.status == 0 && incoming.len() != expected {
+                    return refused(fatal::SEQUENCE, 0, "a read completed without all its data");
+                } else {
+                    events.push(Event::Done { cid: cqe.cid, cqe, data: incoming });
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn data(&mut self, part: DataPart, events: &mut Vec<Event>) -> Result<(), Refused> {
+        let Some(Slot::Taken { incoming, expected, .. }) = self.slots.get_mut(part.cid as usize) else {
+            return refused(fatal::SEQUENCE, 8, "data for a command that is not out");
+        };
+        if part.offset as usize != incoming.len() || incoming.len() + part.data.len() > *expected {
+            return refused(
+                fatal::OUT_OF_RANGE,
+                12,
+                "data outside what the command asked for, or out of order",
+            );
+        }
+        incoming.extend_from_slice(&part.data);
+        if part.success {
+            if !part.last {
+                return refused(fatal::INVALID_HEADER, 1, "success without the last data");
+            }
+            return self.complete(Cqe { cid: part.cid, ..Cqe::default() }, events);
+        }
+        Ok(())
+    }
+
+    fn ready(&mut self, cid: u16, ttag: u16, offset: u32, length: u32) -> Result<(), Refused> {
+        let Some(Slot::Taken { outgoing, .. }) = self.slots.get(cid as usize) else {
+            return refused(fatal::SEQUENCE, 8, "R2T for a command that is not out");
+        };
+        let (from, to) = (offset as usize, offset as usize + length as usize);
+        if length == 0 || to > outgoing.len() {
+            return refused(fatal::OUT_OF_RANGE, 12, "R2T asks for data that the command has not");
+        }
+        for at in (from..to).step_by(self.max_h2c) {
+            let end = to.min(at + self.max_h2c);
+            let (last, data) = (end == to, outgoing[at..end].to_vec());
+            let part = DataPart { cid, ttag, offset: at as u32, last, success: false, data };
+            Pdu::H2cData(part).encode(&mut self.out);
+        }
+        Ok(())
+    }
+}
+
+/// Bytes that a command of this opcode writes, or reads, by its own fields.
+pub fn lengths(sqe: &Sqe) -> (usize, usize) {
+    match sqe.opcode {
+        opcode::WRITE => (sqe.length(), 0),
+        opcode::READ => (0, sqe.length()),
+        _ => (0, 0),
+    }
+}
--- /dev/null
+++ b/crates/nvme/src/pdu.rs
@@ -0,0 +1,285 @@
+//! PDUs: layouts, encoding, and decoding over any split of bytes.
+//!
+//! Every PDU starts with the common header: type, flags, HLEN, PDO, PLEN. Header and data digests are not
+//! negotiated in this part of the subset, so a PDU with a digest flag is refused.
+
+use thiserror::Error;
+
+use crate::command::{Cqe, Sqe};
+use crate::{IN_CAPSULE, MAX_DATA};
+
+const COMMON: usize = 8;
+/// ICReq and ICResp are padded to this length.
+const INIT_LEN: usize = 128;
+const CMD_LEN: usize = 72;
+const RESP_LEN: usize = 24;
+const DATA_LEN: usize = 24;
+/// A term request may carry the start of the offending PDU, this much at most.
+const TERM_MOST: usize = 152;
+
+const ICREQ: u8 = 0x00;
+const ICRESP: u8 = 0x01;
+const H2C_TERM: u8 = 0x02;
+const C2H_TERM: u8 = 0x03;
+const CAPSULE_CMD: u8 = 0x04;
+const CAPSULE_RESP: u8 = 0x05;
+const H2C_DATA: u8 = 0x06;
+const C2H_DATA: u8 = 0x07;
+const R2T: u8 = 0x09;
+
+const FLAG_HDGST: u8 = 1;
+const FLAG_DDGST: u8 = 2;
+const FLAG_LAST: u8 = 4;
+const FLAG_SUCCESS: u8 = 8;
+
+/// Data of a capsule or data PDU and where it belongs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DataPart {
+    /// Command the data belongs to (CCCID).
+    pub cid: u16,
+    /// Transfer tag, in H2CData the one of the R2T; zero in C2HData.
+    pub ttag: u16,
+    /// Offset within the command's data, bytes.
+    pub offset: u32,
+    /// No more data of this command (or of this R2T) follows.
+    pub last: bool,
+    /// C2HData only: the transfer's end stands for a successful response, no CapsuleResp follows.
+    pub success: bool,
+    pub data: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pdu {
+    /// PDU format version, host data alignment (HPDA), digest bits, MAXR2T (0-based).
+    IcReq {
+        pfv: u16,
+        hpda: u8,
+        digest: u8,
+        max_r2t: u32,
+    },
+    /// PDU format version, controller data alignment (CPDA), digest bits, MAXH2CDATA in bytes.
+    IcResp {
+        pfv: u16,
+        cpda: u8,
+        digest: u8,
+        max_h2c: u32,
+    },
+    /// Fatal error from the host: status and where in the PDU it was found.
+    H2cTerm {
+        status: u16,
+        info: u32,
+    },
+    /// Fatal error from the controller.
+    C2hTerm {
+        status: u16,
+        info: u32,
+    },
+    Command {
+        sqe: Sqe,
+        data: Vec<u8>,
+    },
+    Response(Cqe),
+    H2cData(DataPart),
+    C2hData(DataPart),
+    /// The controller is ready for this part of a write.
+    R2t {
+        cid: u16,
+        ttag: u16,
+        offset: u32,
+        length: u32,
+    },
+}
+
+/// Fatal error status (FES) values of the term requests.
+pub mod fatal {
+    pub const INVALID_HEADER: u16 = 1;
+    pub const SEQUENCE: u16 = 2;
+    pub const OUT_OF_RANGE: u16 = 4;
+    pub const LIMIT: u16 = 5;
+}
+
+/// What a peer sent that cannot be taken; the connection ends with a term request.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{what} (fatal error status {status}, at byte {info} of the PDU)")]
+pub struct Refused {
+    pub status: u16,
+    pub info: u32,
+    pub what: &'static str,
+}
+
+pub fn refused<T>(status: u16, info: u32, what: &'static str) -> Result<T, Refused> {
+    Err(Refused { status, info, what })
+}
+
+fn u16_at(bytes: &[u8], at: usize) -> u16 {
+    u16::from_le_bytes([bytes[at], bytes[at + 1]])
+}
+
+fn u32_at(bytes: &[u8], at: usize) -> u32 {
+    u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
+}
+
+fn header(out: &mut Vec<u8>, kind: u8, flags: u8, hlen: usize, data: usize) {
+    let pdo = if data > 0 { hlen } else { 0 };
+    out.extend_from_slice(&[kind, flags, hlen as u8, pdo as u8]);
+    out.extend_from_slice(&((hlen + data) as u32).to_le_bytes());
+}
+
+fn data_pdu(out: &mut Vec<u8>, kind: u8, part: &DataPart) {
+    let flags = if part.last { FLAG_LAST } else { 0 } | if part.success { FLAG_SUCCESS } else { 0 };
+    header(out, kind, flags, DATA_LEN, part.data.len());
+    out.extend_from_slice(&part.cid.to_le_bytes());
+    out.extend_from_slice(&part.ttag.to_le_bytes());
+    out.extend_from_slice(&part.offset.to_le_bytes());
+    out.extend_from_slice(&(part.data.len() as u32).to_le_bytes());
+    out.extend_from_slice(&[0; 4]);
+    out.extend_from_slice(&part.data);
+}
+
+impl Pdu {
+    /// Appends the PDU's bytes.
+    pub fn encode(&self, out: &mut Vec<u8>) {
+        let start = out.len();
+        match self {
+            Pdu::IcReq { pfv, hpda, digest, max_r2t } => {
+                header(out, ICREQ, 0, INIT_LEN, 0);
+                out.extend_from_slice(&pfv.to_le_bytes());
+                out.extend_from_slice(&[*hpda, *digest]);
+                out.extend_from_slice(&max_r2t.to_le_bytes());
+                out.resize(start + INIT_LEN, 0);
+            }
+            Pdu::IcResp { pfv, cpda, digest, max_h2c } => {
+                header(out, ICRESP, 0, INIT_LEN, 0);
+                out.extend_from_slice(&pfv.to_le_bytes());
+                out.extend_from_slice(&[*cpda, *digest]);
+                out.extend_from_slice(&max_h2c.to_le_bytes());
+                out.resize(start + INIT_LEN, 0);
+            }
+            Pdu::H2cTerm { status, info } | Pdu::C2hTerm { status, info } => {
+                let kind = if matches!(self, Pdu::H2cTerm { .. }) { H2C_TERM } else { C2H_TERM };
+                header(out, kind, 0, RESP_LEN, 0);
+                out.extend_from_slice(&status.to_le_bytes());
+                out.extend_from_slice(&info.to_le_bytes());
+                out.resize(start + RESP_LEN, 0);
+            }
+            Pdu::Command { sqe, data } => {
+                header(out, CAPSULE_CMD, 0, CMD_LEN, data.len());
+                sqe.encode(out);
+                out.extend_from_slice(data);
+            }
+            Pdu::Response(cqe) => {
+                header(out, CAPSULE_RESP, 0, RESP_LEN, 0);
+                cqe.encode(out);
+            }
+            Pdu::H2cData(part) => data_pdu(out, H2C_DATA, part),
+            Pdu::C2hData(part) => data_pdu(out, C2H_DATA, part),
+            Pdu::R2t { cid, ttag, offset, length } => {
+                header(out, R2T, 0, DATA_LEN, 0);
+                out.extend_from_slice(&cid.to_le_bytes());
+                out.extend_from_slice(&ttag.to_le_bytes());
+                out.extend_from_slice(&offset.to_le_bytes());
+                out.extend_from_slice(&length.to_le_bytes());
+                out.extend_from_slice(&[0; 4]);
+            }
+        }
+    }
+}
+
+/// Takes bytes as they come and gives whole PDUs. Holds one PDU at most beyond what was fed last, and refuses a
+/// header whose length is out of bounds before it waits for the rest.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    bytes: Vec<u8>,
+    read: usize,
+}
+
+impl Decoder {
+    pub fn feed(&mut self, bytes: &[u8]) {
+        if self.read > 0 && (self.read == self.bytes.len() || self.read > 64 * 1024) {
+            self.bytes.drain(..self.read);
+            self.read = 0;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Bytes that wait for the rest of their PDU; a peer that leaves some here and stays is closed by time.
+    pub fn pending(&self) -> usize {
+        self.bytes.len() - self.read
+    }
+
+    /// The next whole PDU, or none until more bytes come.
+    pub fn next_pdu(&mut self) -> Result<Option<Pdu>, Refused> {
+        let bytes = &self.bytes[self.read..];
+        if bytes.len() < COMMON {
+            return Ok(None);
+        }
+        let (kind, flags, hlen, pdo) = (bytes[0], bytes[1], bytes[2] as usize, bytes[3] as usize);
+        let plen = u32_at(bytes, 4) as usize;
+        let (expected, most) = match kind {
+            ICREQ | ICRESP => (INIT_LEN, 0),
+            H2C_TERM | C2H_TERM => (RESP_LEN, TERM_MOST - RESP_LEN),
+            CAPSULE_CMD => (CMD_LEN, IN_CAPSULE),
+            CAPSULE_RESP => (RESP_LEN, 0),
+            H2C_DATA | C2H_DATA => (DATA_LEN, MAX_DATA),
+            R2T => (DATA_LEN, 0),
+            _ => return refused(fatal::INVALID_HEADER, 0, "PDU type is not one of the subset"),
+        };
+        if hlen != expected {
+            return refused(fatal::INVALID_HEADER, 2, "HLEN does not fit the PDU type");
+        }
+        if flags & (FLAG_HDGST | FLAG_DDGST) != 0 {
+            return refused(fatal::INVALID_HEADER, 1, "a digest was not agreed on");
+        }
+        if plen < hlen || plen > hlen + most + if pdo > hlen { pdo - hlen } else { 0 } {
+            return refused(fatal::INVALID_HEADER, 4, "PLEN is out of bounds for the PDU type");
+        }
+        let term = matches!(kind, H2C_TERM | C2H_TERM);
+        if plen > hlen && !term && (pdo < hlen || pdo > plen) {
+            return refused(fatal::INVALID_HEADER, 3, "PDO lies outside the PDU");
+        }
+        if bytes.len() < plen {
+            return Ok(None);
+        }
+        let pdu = Self::decode(kind, flags, &bytes[..plen], if plen > hlen { pdo } else { plen })?;
+        self.read += plen;
+        Ok(Some(pdu))
+    }
+
+    fn decode(kind: u8, flags: u8, bytes: &[u8], pdo: usize) -> Result<Pdu, Refused> {
+        let body = &bytes[COMMON..];
+        let part = || {
+            let data = bytes[pdo..].to_vec();
+            if u32_at(body, 8) as usize != data.len() {
+                return refused(fatal::OUT_OF_RANGE, 16, "DATAL differs from the data carried");
+            }
+            Ok(DataPart {
+                cid: u16_at(body, 0),
+                ttag: u16_at(body, 2),
+                offset: u32_at(body, 4),
+                last: flags & FLAG_LAST != 0,
+                success: flags & FLAG_SUCCESS != 0,
+                data,
+            })
+        };
+        Ok(match kind {
+            ICREQ => {
+                Pdu::IcReq { pfv: u16_at(body, 0), hpda: body[2], digest: body[3], max_r2t: u32_at(body, 4) }
+            }
+            ICRESP => {
+                Pdu::IcResp { pfv: u16_at(body, 0), cpda: body[2], digest: body[3], max_h2c: u32_at(body, 4) }
+            }
+            H2C_TERM => Pdu::H2cTerm { status: u16_at(body, 0), info: u32_at(body, 2) },
+            C2H_TERM => Pdu::C2hTerm { status: u16_at(body, 0), info: u32_at(body, 2) },
+            CAPSULE_CMD => Pdu::Command { sqe: Sqe::decode(body), data: bytes[pdo..].to_vec() },
+            CAPSULE_RESP => Pdu::Response(Cqe::decode(body)),
+            H2C_DATA => Pdu::H2cData(part()?),
+            C2H_DATA => Pdu::C2hData(part()?),
+            _ => Pdu::R2t {
+                cid: u16_at(body, 0),
+                ttag: u16_at(body, 2),
+                offset: u32_at(body, 4),
+                length: u32_at(body, 8),
+            },
+        })
+    }
+}
