--- /dev/null
+++ b/crates/initiator/src/core.rs
@@ -0,0 +1,190 @@
+//! The seam to whatever decides: the core itself, or the careless baseline that it is measured against.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use quaypath::brain::Brain;
+use quaypath::types::*;
+use quaypath_settings::Deployment;
+use tracing::info;
+
+use crate::list::{Call, Known};
+
+/// What the core asked for in one call.
+#[derive(Default)]
+pub struct Actions(pub VecDeque<Action>);
+
+pub enum Action {
+    Send(u64, f64, NodeId),
+    Cancel(u64, u32),
+    Decline(u64, f64),
+    Scrap(u64),
+    Timer(f64, u64),
+    Call(Call),
+    Close(NodeId),
+    Unused(&'static str),
+}
+
+impl Outbox for Actions {
+    fn send(&mut self, transaction: TransactionId, stop_at: f64, node: &NodeId) {
+        self.0.push_back(Action::Send(transaction.0, stop_at, node.clone()));
+    }
+    fn cancel(&mut self, transaction: TransactionId, shot: u32) {
+        self.0.push_back(Action::Cancel(transaction.0, shot));
+    }
+    fn decline(&mut self, transaction: TransactionId, come_back: f64) {
+        self.0.push_back(Action::Decline(transaction.0, come_back));
+    }
+    fn scrap(&mut self, transaction: TransactionId) {
+        self.0.push_back(Action::Scrap(transaction.0));
+    }
+    fn set_timer(&mut self, after: f64, tag: u64) {
+        self.0.push_back(Action::Timer(after, tag));
+    }
+    fn subscribe(&mut self, on: bool) {
+        self.0.push_back(Action::Call(Call::Watch { on }));
+    }
+    fn fetch_list(&mut self) {
+        self.0.push_back(Action::Call(Call::Fetch));
+    }
+    fn probe(&mut self, _node: &NodeId) {
+        self.0.push_back(Action::Unused("probe"));
+    }
+    fn close(&mut self, node: &NodeId) {
+        self.0.push_back(Action::Close(node.clone()));
+    }
+    fn tell(&mut self, _initiator: Option<u64>, _payload: &[u8]) {
+        self.0.push_back(Action::Unused("tell"));
+    }
+    fn log(&mut self, text: &str) {
+        info!(target: "core", "{text}");
+    }
+}
+
+/// The events of the core, one method each; shapes and units are those of [`Brain`].
+pub trait Core {
+    fn list_known(&mut self, now: f64, scope: ListScope, entries: &[Known], out: &mut Actions);
+    #[allow(clippy::too_many_arguments)] // events come as plain arguments, as in the core
+    fn taken(
+        &mut self, now: f64, id: TransactionId, initiators: f64, plan: Option<PlanId>, band: BandId,
+        extent: Option<ExtentId>, budget: f64, units: f64, volume: VolumeId, block: Option<BlockId>,
+        out: &mut Actions,
+    );
+    #[allow(clippy::too_many_arguments)]
+    fn returned(
+        &mut self, now: f64, id: TransactionId, node: &NodeId, shot: u32, used: f64, delay: f64, last: bool,
+        outcome: Outcome, others: f64, report: &[f64], out: &mut Actions,
+    );
+    fn lapsed(&mut self, now: f64, id: TransactionId, out: &mut Actions);
+    fn rang(&mut self, now: f64, tag: u64, out: &mut Actions);
+}
+
+/// Makes what decides: clock time, seed, deployment, and where its first actions go.
+pub type Make = fn(f64, u64, &Deployment, &mut Actions) -> Box<dyn Core>;
+
+/// The decision core.
+pub fn brain(now: f64, seed: u64, deployment: &Deployment, out: &mut Actions) -> Box<dyn Core> {
+    Box::new(Brain::start(now, seed, deployment.core.clone(), out))
+}
+
+impl Core for Brain {
+    fn list_known(&mut self, now: f64, scope: ListScope, entries: &[Known], out: &mut Actions) {
+        Brain::list_known(self, now, scope, entries, out);
+    }
+    fn taken(
+        &mut self, now: f64, id: TransactionId, initiators: f64, plan: Option<PlanId>, band: BandId,
+        extent: Option<ExtentId>, budget: f64, units: f64, volume: VolumeId, block: Option<BlockId>,
+        out: &mut Actions,
+    ) {
+        Brain::taken(self, now, id, initiators, plan, band, extent, budget, units, volume, block, out);
+    }
+    fn returned(
+        &mut self, now: f64, id: TransactionId, node: &NodeId, shot: u32, used: f64, delay: f64, last: bool,
+        outcome: Outcome, others: f64, report: &[f64], out: &mut Actions,
+    ) {
+        Brain::returned(self, now, id, node, shot, used, delay, last, outcome, others, report, out);
+    }
+    fn lapsed(&mut self, now: f64, id: TransactionId, out: &mut Actions) {
+        Brain::lapsed(self, now, id, out);
+    }
+    fn rang(&mut self, now: f64, tag: u64, out: &mut Actions) {
+        Brain::rang(self, now, tag, out);
+    }
+}
+
+/// A plain gateway: sends at once to whatever node was last heard of for the data, and tries everything again
+/// whatever became of it. Only there to be measured against; it keeps none of the rules on purpose.
+struct Careless {
+    nodes: BTreeMap<BlockId, NodeId>,
+    most_shots: u32,
+    due: Vec<f64>,
+    must_ask: bool,
+    open: BTreeMap<TransactionId, (BlockId, usize, u32)>,
+}
+
+pub fn careless(_now: f64, _seed: u64, deployment: &Deployment, out: &mut Actions) -> Box<dyn Core> {
+    let set = &deployment.core;
+    if set.must_ask {
+        out.subscribe(true);
+    }
+    Box::new(Careless {
+        nodes: BTreeMap::new(),
+        most_shots: set.most_shots,
+        due: set.bands.iter().map(|band| band.due).collect(),
+        must_ask: set.must_ask,
+        open: BTreeMap::new(),
+    })
+}
+
+impl Careless {
+    fn shot(&mut self, now: f64, id: TransactionId, out: &mut Actions) {
+        let Some((block, band, shots)) = self.open.get_mut(&id) else { return };
+        let node = self.nodes.get(block).filter(|_| *shots < self.most_shots);
+        match node {
+            Some(node) => {
+                *shots += 1;
+                out.send(id, now + self.due[*band], node);
+            }
+            None => {
+                self.open.remove(&id);
+                out.decline(id, 0.0);
+            }
+        }
+    }
+}
+
+impl Core for Careless {
+    fn list_known(&mut self, _now: f64, scope: ListScope, entries: &[Known], out: &mut Actions) {
+        if scope == ListScope::Failed && self.must_ask {
+            out.set_timer(1.0, 0);
+        }
+        for (node, block, condition, _) in entries {
+            if *condition == Condition::Ready {
+                self.nodes.insert(*block, node.clone());
+            }
+        }
+    }
+    fn taken(
+        &mut self, now: f64, id: TransactionId, _initiators: f64, _plan: Option<PlanId>, band: BandId,
+        _extent: Option<ExtentId>, _budget: f64, _units: f64, _volume: VolumeId, block: Option<BlockId>,
+        out: &mut Actions,
+    ) {
+        self.open.insert(id, (block.unwrap_or_default(), band.0, 0));
+        self.shot(now, id, out);
+    }
+    fn returned(
+        &mut self, now: f64, id: TransactionId, _node: &NodeId, _shot: u32, _used: f64, _delay: f64,
+        last: bool, outcome: Outcome, _others: f64, _report: &[f64], out: &mut Actions,
+    ) {
+        if last || outcome == Outcome::Settled {
+            self.open.remove(&id);
+        } else {
+            self.shot(now, id, out);
+        }
+    }
+    fn lapsed(&mut self, _now: f64, id: TransactionId, _out: &mut Actions) {
+        self.open.remove(&id);
+    }
+    fn rang(&mut self, _now: f64, _tag: u64, out: &mut Actions) {
+        out.subscribe(true);
+    }
+}
--- /dev/null
+++ b/crates/initiator/src/instance.rs
@@ -0,0 +1,1123 @@
+//! One initiator's state outside the core: open transactions, connections, nodes, timers. Every event of the
+//! sockets becomes a call of the core here, and the core's actions are carried out here; nothing is decided.
+//!
+//! Bounds, and what happens at them: client connections (closed at once), open transactions (turned away before
+//! the core), data held for one client connection (turned away), commands at one node (the queue's size; then a
+//! fresh connection), waits on unfinished PDUs and on peers that do not read (closed).
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use quaypath::types::*;
+use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, Told};
+use quaypath_nvme::controller::{self, Controller};
+use quaypath_nvme::host::{self, Host};
+use quaypath_nvme::{status, BLOCK_SIZE};
+use quaypath_settings::{Deployment, Mode};
+use rustix::ioctl;
+use tracing::{debug, info, warn};
+
+use crate::core::{Action, Actions, Core};
+use crate::list::{Call, Known, List, News, NewsScope};
+use crate::net;
+use crate::outcome::{outcome, Ended, Progress};
+use crate::wheel::Wheel;
+
+/// Data asked for and not yet taken by one client connection, bytes, at which its commands are turned away.
+const MOST_HELD: usize = 16 << 20;
+/// Bytes handed to the kernel in one call.
+const BATCH: usize = 256 << 10;
+/// How often the loop shows that it gets its turns, and how late that may be before it counts as a stall.
+const BEAT: f64 = 0.02;
+const STALL: f64 = 0.06;
+/// How often connections are looked over for idleness and half PDUs.
+const SWEEP: f64 = 0.25;
+/// Calls to the register that wait to be written, at most; the core asks once in seconds.
+const MOST_CALLS: usize = 64;
+
+/// What an instance counted since its start.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Counts {
+    pub taken: u64,
+    pub turned_away: u64,
+    pub settled: u64,
+    pub declined: u64,
+    pub scrapped: u64,
+    pub lapsed: u64,
+    pub shots: u64,
+    pub further: u64,
+    /// Late answers recognised and dropped.
+    pub late_answers: u64,
+    /// Commands withdrawn from our own queue before their first byte left.
+    pub withdrawn: u64,
+    pub connects: u64,
+    pub connects_failed: u64,
+    /// Connections reset because bytes for a draining node had not left in time.
+    pub drain_resets: u64,
+    pub stalls: u64,
+    /// Seconds of CPU spent in the core.
+    pub core_seconds: f64,
+    pub open: usize,
+    pub connections: usize,
+}
+
+/// What happens to the core, in order.
+enum Happened {
+    List(ListScope, Vec<Known>),
+    Taken(u64),
+    /// Transaction, shot, what ended it, and what the answer told.
+    Back(u64, u32, Ended, Told),
+    Lapsed(u64),
+    Rang(u64),
+}
+
+enum Timer {
+    Core(u64),
+    /// The time of a shot is up.
+    Stop(u64, u32),
+    /// The grace for a draining node ends: nothing more may leave for it.
+    Grace(NodeId),
+    Beat,
+    Sweep,
+}
+
+struct Shot {
+    number: u32,
+    node: NodeId,
+    progress: Progress,
+    /// Connection and command id once it is queued there.
+    at: Option<(u64, u16)>,
+    sent_at: f64,
+}
+
+struct Open {
+    /// Client connection and its command id, until the final answer.
+    client: Option<(u64, u16)>,
+    band: usize,
+    volume: u32,
+    block: i64,
+    extent: u64,
+    initiators: f64,
+    units: f64,
+    outer: f64,
+    sqe: Sqe,
+    marks: Marks,
+    data: Rc<Vec<u8>>,
+    read: usize,
+    shots: u32,
+    shot: Option<Shot>,
+}
+
+struct Front {
+    stream: Rc<Async<TcpStream>>,
+    machine: Controller,
+    sent: usize,
+    association: u16,
+    open: HashMap<u16, u64>,
+    /// Read data that its open commands will bring.
+    asked: usize,
+    /// Since when a PDU is unfinished, or output does not move.
+    stuck_since: Option<f64>,
+    blocked: bool,
+}
+
+struct Queued {
+    id: u64,
+    shot: u32,
+    cid: u16,
+    bytes: Vec<u8>,
+}
+
+struct Back {
+    node: NodeId,
+    stream: Rc<Async<TcpStream>>,
+    machine: Host,
+    queue: VecDeque<Queued>,
+    current: Vec<u8>,
+    sent: usize,
+    /// Commands whose bytes are in `current`: where each starts and ends there, transaction and shot.
+    leaving: VecDeque<(usize, usize, u64, u32)>,
+    shots: HashMap<u16, (u64, u32)>,
+    stuck_since: Option<f64>,
+    used_at: f64,
+    blocked: bool,
+    /// No more commands: its queue is full of ids whose late answers never came.
+    retired: bool,
+}
+
+#[derive(Default)]
+enum Link {
+    #[default]
+    Closed,
+    Opening,
+    /// I/O connection and admin connection.
+    Up(u64, u64),
+}
+
+#[derive(Default)]
+struct Node {
+    link: Link,
+    /// Shots that wait for a connection.
+    waiting: VecDeque<(u64, u32)>,
+    /// Since when we know that it drains or is gone.
+    shut_since: Option<f64>,
+}
+
+pub struct Instance {
+    pub deployment: Rc<Deployment>,
+    pub name: String,
+    number: u32,
+    core: Box<dyn Core>,
+    actions: Actions,
+    events: VecDeque<Happened>,
+    clock: net::Clock,
+    now: f64,
+    beat_at: f64,
+    timers: Wheel<Timer>,
+    pub wake: Rc<net::Notify>,
+    open: BTreeMap<u64, Open>,
+    next_id: u64,
+    next_connection: u64,
+    next_association: u16,
+    fronts: HashMap<u64, Front>,
+    backs: HashMap<u64, Back>,
+    nodes: BTreeMap<NodeId, Node>,
+    /// Connections with output to be written at the end of this turn.
+    dirty: Vec<u64>,
+    list: List,
+    list_path: std::path::PathBuf,
+    pub calls: VecDeque<Call>,
+    pub calls_ready: Rc<net::Notify>,
+    marks_from: u64,
+    pub counts: Counts,
+    executor: Weak<LocalExecutor<'static>>,
+    me: Weak<RefCell<Instance>>,
+}
+
+impl Instance {
+    pub fn start(options: &net::Options, executor: &Rc<LocalExecutor<'static>>) -> Rc<RefCell<Instance>> {
+        let (clock, deployment) = (net::Clock::default(), options.deployment.clone());
+        let now = clock.now();
+        let (list, told) = List::load(&options.list);
+        if let Some(told) = told {
+            warn!(told, "the last node list cannot be read; started without");
+        }
+        let mut actions = Actions::default();
+        let core = (options.core)(now, options.seed, &deployment, &mut actions);
+        let known = list.known();
+        info!(nodes = known.len(), "started with the last node list");
+        let instance = Rc::new(RefCell::new(Instance {
+            name: format!("nqn.2026-12.example.quaypath:initiator:{}", options.number),
+            number: options.number,
+            deployment,
+            core,
+            actions,
+            events: VecDeque::from([Happened::List(ListScope::Cached, known)]),
+            clock,
+            now,
+            beat_at: now,
+            timers: Wheel::new(now),
+            wake: Rc::default(),
+            open: BTreeMap::new(),
+            next_id: 1,
+            next_connection: 1,
+            next_association: 1,
+            fronts: HashMap::new(),
+            backs: HashMap::new(),
+            nodes: BTreeMap::new(),
+            dirty: Vec::new(),
+            list,
+            list_path: options.list.clone(),
+            calls: VecDeque::new(),
+            calls_ready: Rc::default(),
+            marks_from: options.seed.rotate_left(17) | 1 << 63,
+            counts: Counts::default(),
+            executor: Rc::downgrade(executor),
+            me: Weak::new(),
+        }));
+        let mut this = instance.borrow_mut();
+        this.me = Rc::downgrade(&instance);
+        this.timers.set(now + BEAT, Timer::Beat);
+        this.timers.set(now + SWEEP, Timer::Sweep);
+        this.finish_turn();
+        drop(this);
+        instance
+    }
+
+    /// Reads the clock; every turn starts with it, and the core is called with nothing else.
+    pub fn begin_turn(&mut self) {
+        self.now = self.clock.now().max(self.now);
+    }
+
+    /// Feeds the core all that happened, carries out what it asks for, and writes what is to be written.
+    pub fn finish_turn(&mut self) {
+        loop {
+            while let Some(event) = self.events.pop_front() {
+                self.feed(event);
+            }
+            while let Some(action) = self.actions.0.pop_front() {
+                self.carry_out(action);
+            }
+            if !self.events.is_empty() {
+                continue;
+            }
+            let Some(connection) = self.dirty.pop() else { break };
+            self.flush(connection);
+        }
+    }
+
+    fn feed(&mut self, event: Happened) {
+        let (now, out) = (self.now, &mut self.actions);
+        let began = Instant::now();
+        match event {
+            Happened::List(scope, known) => {
+                self.core.list_known(now, scope, &known, out);
+                self.counts.core_seconds += began.elapsed().as_secs_f64();
+                self.shut(&known, scope);
+                return;
+            }
+            Happened::Taken(id) => {
+                let Some(t) = self.open.get(&id) else { return };
+                let plan = self.deployment.volumes[&t.volume].plan;
+                let extent = ExtentId(Arc::from(format!("{}:{}", t.volume, t.extent)));
+                let volume = VolumeId(Arc::from(t.volume.to_string()));
+                self.core.taken(
+                    now,
+                    TransactionId(id),
+                    t.initiators,
+                    Some(PlanId(plan)),
+                    BandId(t.band),
+                    Some(extent),
+                    t.outer - now,
+                    t.units,
+                    volume,
+                    Some(BlockId(t.block)),
+                    out,
+                );
+            }
+            Happened::Back(id, number, ended, told) => {
+                let Some(t) = self.open.get_mut(&id) else { return };
+                let Some(shot) = t.shot.take_if(|shot| shot.number == number) else { return };
+                let outcome = outcome(ended, shot.progress);
+                let over = t.client.is_none();
+                let (used, others) = (f64::from(told.used), f64::from(told.others));
+                let (delay, last) = (now - shot.sent_at, over || outcome == Outcome::Settled);
+                self.core.returned(
+                    now,
+                    TransactionId(id),
+                    &shot.node,
+                    number,
+                    used,
+                    delay,
+                    last,
+                    outcome,
+                    others,
+                    &[told.latency * 1e3],
+                    out,
+                );
+                if over {
+                    self.open.remove(&id);
+                }
+            }
+            Happened::Lapsed(id) => self.core.lapsed(now, TransactionId(id), out),
+            Happened::Rang(tag) => self.core.rang(now, tag, out),
+        }
+        self.counts.core_seconds += began.elapsed().as_secs_f64();
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send(id, stop_at, node) => self.send(id, stop_at, node),
+            Action::Cancel(id, shot) => {
+                self.end_shot(id, shot, Ended::CalledOff, Told::default());
+            }
+            Action::Decline(id, come_back) => {
+                let told = (come_back * 1e3).round().clamp(0.0, f64::from(u32::MAX)) as u32;
+                self.counts.declined +=
+                    u64::from(self.answer(id, status::INTERRUPTED | status::CRD1, told, &[]));
+            }
+            Action::Scrap(id) => {
+                self.counts.scrapped +=
+                    u64::from(self.answer(id, status::INTERNAL_ERROR | status::DNR, 0, &[]));
+            }
+            Action::Timer(after, tag) => self.timers.set(self.now + after.max(0.0), Timer::Core(tag)),
+            Action::Call(call) => {
+                if self.calls.len() < MOST_CALLS {
+                    self.calls.push_back(call);
+                    self.calls_ready.tell();
+                }
+            }
+            Action::Close(node) => self.close_idle(&node),
+            Action::Unused(what) => debug!(what, "asked for by the core, and no deployment here allows it"),
+        }
+    }
+
+    // Timers.
+
+    pub fn next_timer(&self) -> Option<f64> {
+        self.timers.next_at()
+    }
+
+    pub fn until(&self, at: f64) -> std::time::Duration {
+        std::time::Duration::from_secs_f64((at - self.clock.now()).max(0.0).min(3600.0))
+    }
+
+    pub fn ring(&mut self) {
+        let mut due = Vec::new();
+        self.timers.ring(self.now, &mut due);
+        for timer in due {
+            match timer {
+                Timer::Core(tag) => self.events.push_back(Happened::Rang(tag)),
+                Timer::Stop(id, shot) => self.end_shot(id, shot, Ended::TimeUp, Told::default()),
+                Timer::Grace(node) => self.grace_over(&node),
+                Timer::Beat => {
+                    self.counts.stalls += u64::from(self.now - self.beat_at > STALL);
+                    self.beat_at = self.now;
+                    self.timers.set(self.now + BEAT, Timer::Beat);
+                }
+                Timer::Sweep => {
+                    self.sweep();
+                    self.timers.set(self.now + SWEEP, Timer::Sweep);
+                }
+            }
+            // In order: what one timer brings about comes before the next.
+            while let Some(event) = self.events.pop_front() {
+                self.feed(event);
+            }
+            while let Some(action) = self.actions.0.pop_front() {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    /// How long what is read now may have waited while the loop had no turn, seconds.
+    fn waited(&self) -> f64 {
+        let since = self.now - self.beat_at;
+        if since > STALL {
+            since
+        } else {
+            0.0
+        }
+    }
+
+    fn sweep(&mut self) {
+        let (now, waits) = (self.now, self.deployment.connections.clone());
+        let stuck = |since: &Option<f64>| since.is_some_and(|since| now - since > waits.half_pdu);
+        let fronts: Vec<u64> =
+            self.fronts.iter().filter(|(_, front)| stuck(&front.stuck_since)).map(|(at, _)| *at).collect();
+        for connection in fronts {
+            warn!(connection, "closed: the client left a PDU unfinished or does not read");
+            self.front_closed(connection);
+        }
+        let backs: Vec<u64> =
+            self.backs.iter().filter(|(_, back)| stuck(&back.stuck_since)).map(|(at, _)| *at).collect();
+        for connection in backs {
+            warn!(connection, "closed: the node left a PDU unfinished or does not read");
+            self.back_closed(connection);
+        }
+        let idle = |back: &Back| {
+            back.machine.live() == 0
+                && back.queue.is_empty()
+                && back.sent == back.current.len()
+                && (back.retired || now - back.used_at > waits.idle)
+        };
+        let ups = self.nodes.values().filter_map(|node| match node.link {
+            Link::Up(io, admin) => Some((io, admin)),
+            _ => None,
+        });
+        let admins: HashMap<u64, u64> = ups.map(|(io, admin)| (admin, io)).collect();
+        let closing: Vec<u64> = self
+            .backs
+            .iter()
+            .filter(|(at, back)| !admins.contains_key(at) && idle(back))
+            .map(|(at, _)| *at)
+            .collect();
+        closing.into_iter().for_each(|connection| self.back_closed(connection));
+        // A node that is gone, with nothing at it, need not be remembered.
+        self.nodes.retain(|_, node| {
+            let idle = matches!(node.link, Link::Closed) && node.waiting.is_empty();
+            !(idle && node.shut_since.is_none_or(|since| now - since > 60.0))
+        });
+        (self.counts.open, self.counts.connections) = (self.open.len(), self.fronts.len() + self.backs.len());
+    }
+
+    // The register.
+
+    pub fn news(&mut self, news: &News) {
+        let scope = match news.scope {
+            NewsScope::Changes => ListScope::Changes,
+            NewsScope::Whole => ListScope::Whole,
+            NewsScope::Failed => return self.call_failed(),
+        };
+        let known = self.list.take(self.now, news);
+        if let Err(error) = self.list.save(&self.list_path) {
+            warn!(path = %self.list_path.display(), %error, "the node list is not kept");
+        }
+        debug!(revision = news.revision, entries = known.len(), ?scope, "news of the register");
+        self.events.push_back(Happened::List(scope, known));
+    }
+
+    /// A call failed or the connection to the register went while one may stand.
+    pub fn call_failed(&mut self) {
+        if self.deployment.register.mode == Mode::Asked {
+            self.events.push_back(Happened::List(ListScope::Failed, Vec::new()));
+        }
+    }
+
+    pub fn hello(&self) -> Call {
+        Call::Hello { gateway: self.number }
+    }
+
+    /// From here on nothing new leaves for nodes that drain or are gone: what waits in our own queues is taken
+    /// back at once, and what the kernel still holds when the grace ends is reset.
+    fn shut(&mut self, known: &[Known], scope: ListScope) {
+        let mut shut: Vec<NodeId> = Vec::new();
+        for (node, _, condition, _) in known {
+            match condition {
+                Condition::Ready => {
+                    self.nodes.get_mut(node).into_iter().for_each(|node| node.shut_since = None);
+                }
+                _ => shut.push(node.clone()),
+            }
+        }
+        if matches!(scope, ListScope::Whole) {
+            let listed = |node: &NodeId| known.iter().any(|(listed, ..)| listed == node);
+            shut.extend(self.nodes.keys().filter(|node| !listed(node)).cloned());
+        }
+        for name in shut {
+            let now = self.now;
+            let Some(node) = self.nodes.get_mut(&name).filter(|node| node.shut_since.is_none()) else {
+                continue;
+            };
+            node.shut_since = Some(now);
+            let grace = (self.deployment.book.drain_grace * 0.9 - 0.01).max(0.0);
+            self.timers.set(now + grace, Timer::Grace(name.clone()));
+            let waiting: Vec<(u64, u32)> = node.waiting.drain(..).collect();
+            let queued = self.backs.values().filter(|back| back.node == name);
+            let queued: Vec<_> =
+                queued.flat_map(|back| back.queue.iter().map(|one| (one.id, one.shot))).collect();
+            for (id, shot) in waiting.into_iter().chain(queued) {
+                self.end_shot(id, shot, Ended::Lost, Told::default());
+            }
+        }
+    }
+
+    fn grace_over(&mut self, name: &NodeId) {
+        if self.nodes.get(name).is_none_or(|node| node.shut_since.is_none()) {
+            return;
+        }
+        let held = |back: &Back| {
+            let fd = back.stream.get_ref();
+            // Bytes that the peer's kernel has not taken. TIOCOUTQ only reads a count into an int.
+            let unsent = unsafe {
+                let get = ioctl::Getter::<{ 0x5411 as ioctl::Opcode }, i32>::new();
+                ioctl::ioctl(fd, get)
+            };
+            back.sent < back.current.len() || unsent.is_ok_and(|bytes| bytes > 0)
+        };
+        let late: Vec<u64> = self
+            .backs
+            .iter()
+            .filter(|(_, back)| back.node == *name && held(back))
+            .map(|(at, _)| *at)
+            .collect();
+        for connection in late {
+            warn!(node = %name.0, "reset: commands for a draining node had not left by the end of the grace");
+            self.counts.drain_resets += 1;
+            let stream = self.backs[&connection].stream.clone();
+            // Zero linger: what the kernel holds is discarded.
+            let _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(std::time::Duration::ZERO));
+            self.back_closed(connection);
+        }
+    }
+
+    // Clients.
+
+    pub fn front_opened(&mut self, stream: Rc<Async<TcpStream>>) -> Option<u64> {
+        if self.fronts.len() >= self.deployment.listen.connections {
+            return None;
+        }
+        let connection = self.next_connection;
+        self.next_connection += 1;
+        let front = Front {
+            stream,
+            machine: Controller::default(),
+            sent: 0,
+            association: 0,
+            open: HashMap::new(),
+            asked: 0,
+            stuck_since: Some(self.now),
+            blocked: false,
+        };
+        self.fronts.insert(connection, front);
+        Some(connection)
+    }
+
+    /// Bytes of a client. False where the connection is of no more use.
+    pub fn front_read(&mut self, connection: u64, bytes: &[u8]) -> bool {
+        let Some(front) = self.fronts.get_mut(&connection) else { return false };
+        let mut events = Vec::new();
+        let fed = front.machine.feed(bytes, &mut events);
+        let stays = front.machine.unfinished() || front.sent < front.machine.out.len();
+        front.stuck_since = if stays { front.stuck_since.or(Some(self.now)) } else { None };
+        self.dirty.push(connection);
+        let mut good = fed.is_ok();
+        if let Err(why) = fed {
+            warn!(connection, %why, "a client broke the protocol");
+        }
+        for event in events {
+            match event {
+                controller::Event::Connect { queue, controller, .. } => {
+                    self.connect(connection, queue, controller)
+                }
+                controller::Event::Command { sqe, data } => self.command(connection, sqe, data),
+                controller::Event::Terminated { status, info } => {
+                    debug!(connection, status, info, "the client ended the connection");
+                    good = false;
+                }
+            }
+        }
+        if !good {
+            // The term request still goes out.
+            self.finish_turn();
+        }
+        good
+    }
+
+    fn connect(&mut self, connection: u64, queue: u16, controller: u16) {
+        let known = self.fronts.values().any(|front| front.association == controller && controller != 0);
+        let front = self.fronts.get_mut(&connection).unwrap();
+        if queue == 0 {
+            front.association = self.next_association;
+            // 0 stands for none and 0xffff for any.
+            self.next_association = self.next_association % 0xfffe + 1;
+            front.machine.accept(front.association);
+        } else if known {
+            front.association = controller;
+            front.machine.accept(controller);
+        } else {
+            front.machine.refuse(status::CONNECT_INVALID | status::DNR);
+        }
+    }
+
+    fn respond(&mut self, connection: u64, cid: u16, status: u16, dw0: u32, data: &[u8]) {
+        if let Some(front) = self.fronts.get_mut(&connection) {
+            front.machine.respond(Cqe { dw0, cid, status, ..Cqe::default() }, data);
+            self.dirty.push(connection);
+        }
+    }
+
+    fn command(&mut self, connection: u64, sqe: Sqe, data: Vec<u8>) {
+        let front = &self.fronts[&connection];
+        let refuse = status::INVALID_FIELD | status::DNR;
+        if front.machine.queue() == 0 {
+            if sqe.opcode != opcode::ABORT {
+                return self.respond(connection, sqe.cid, status::INVALID_OPCODE | status::DNR, 0, &[]);
+            }
+            let (queue, cid) = sqe.aborts();
+            let named = self
+                .fronts
+                .iter()
+                .find(|(_, other)| other.association == front.association && other.machine.queue() == queue);
+            let found = named.and_then(|(at, other)| other.open.get(&cid).map(|id| (*at, *id)));
+            if let Some((at, id)) = found {
+                self.respond(at, cid, status::ABORTED_BY_REQUEST, 0, &[]);
+                self.lapse(id);
+            }
+            return self.respond(connection, sqe.cid, status::SUCCESS, u32::from(found.is_none()), &[]);
+        }
+        // Nothing is held here that a flush could make durable: a write is answered after its node has it.
+        if sqe.opcode == opcode::FLUSH {
+            return self.respond(connection, sqe.cid, status::SUCCESS, 0, &[]);
+        }
+        if !matches!(sqe.opcode, opcode::READ | opcode::WRITE) {
+            return self.respond(connection, sqe.cid, status::INVALID_OPCODE | status::DNR, 0, &[]);
+        }
+        let deployment = self.deployment.clone();
+        let Some(volume) = deployment.volumes.get(&sqe.nsid) else {
+            return self.respond(connection, sqe.cid, status::INVALID_NAMESPACE | status::DNR, 0, &[]);
+        };
+        let (marks, writes) = (Marks::of(&sqe), sqe.opcode == opcode::WRITE);
+        let band = match marks.band {
+            0 => deployment.writes.iter().position(|known| *known == writes),
+            band => Some(usize::from(band) - 1),
+        };
+        // A write under a reading band would be repeated as a read may be.
+        let Some(band) = band.filter(|band| deployment.writes.get(*band) == Some(&writes)) else {
+            return self.respond(connection, sqe.cid, refuse, 0, &[]);
+        };
+        let length = sqe.length();
+        let last = sqe.slba().saturating_add((length / BLOCK_SIZE) as u64 - 1);
+        let (extent, block) = deployment.place(volume, sqe.slba());
+        // One transaction is one node's: a transfer over two extents is the host's to split.
+        if deployment.place(volume, last).0 != extent || length > quaypath_nvme::MAX_DATA {
+            return self.respond(connection, sqe.cid, refuse, 0, &[]);
+        }
+        let read = if writes { 0 } else { length };
+        let held = front.asked + read + front.machine.out.len() > MOST_HELD;
+        if held || self.open.len() >= deployment.listen.open {
+            self.counts.turned_away += 1;
+            let back = (deployment.core.longest_return * 1e3) as u32;
+            return self.respond(connection, sqe.cid, status::INTERRUPTED | status::CRD1, back, &[]);
+        }
+        let longest = deployment.outer[band];
+        let asked = if marks.budget_ms == 0 { longest } else { f64::from(marks.budget_ms) / 1e3 };
+        // What waited while this loop had no turn has that much less time left.
+        let budget = (asked.min(longest) - self.waited()).max(1e-3);
+        let units = match marks.units {
+            0 => length.div_ceil(4096).min(deployment.most_units as usize) as f64,
+            units => f64::from(units).min(f64::from(deployment.most_units)),
+        };
+        let id = self.next_id;
+        self.next_id += 1;
+        let initiators =
+            if marks.initiators > 0 { f64::from(marks.initiators) } else { f64::from(volume.initiators) };
+        let extent = if marks.key > 0 { u64::from(marks.key) } else { extent };
+        let mark = if marks.mark > 0 { marks.mark } else { self.marks_from.wrapping_add(id << 8) };
+        let open = Open {
+            client: Some((connection, sqe.cid)),
+            band,
+            volume: sqe.nsid,
+            block,
+            extent,
+            initiators,
+            units,
+            outer: self.now + budget,
+            sqe,
+            marks: Marks { band: band as u8 + 1, units: units as u8, mark, ..marks },
+            data: Rc::new(data),
+            read,
+            shots: 0,
+            shot: None,
+        };
+        let front = self.fronts.get_mut(&connection).unwrap();
+        front.open.insert(sqe.cid, id);
+        front.asked += read;
+        self.open.insert(id, open);
+        self.counts.taken += 1;
+        self.events.push_back(Happened::Taken(id));
+    }
+
+    /// The final answer. True where one was still owed.
+    fn answer(&mut self, id: u64, status: u16, dw0: u32, data: &[u8]) -> bool {
+        let Some(t) = self.open.get_mut(&id) else { return false };
+        let (client, over, read) = (t.client.take(), t.shot.is_none(), t.read);
+        if over {
+            self.open.remove(&id);
+        }
+        let Some((connection, cid)) = client else { return false };
+        if let Some(front) = self.fronts.get_mut(&connection) {
+            front.open.remove(&cid);
+            front.asked -= read;
+        }
+        self.respond(connection, cid, status, dw0, data);
+        true
+    }
+
+    /// The caller left: the core is told, and nothing is owed any more.
+    fn lapse(&mut self, id: u64) {
+        let Some(t) = self.open.get_mut(&id) else { return };
+        let Some((connection, cid)) = t.client.take() else { return };
+        let (over, read) = (t.shot.is_none(), t.read);
+        if let Some(front) = self.fronts.get_mut(&connection) {
+            front.open.remove(&cid);
+            front.asked -= read;
+        }
+        self.counts.lapsed += 1;
+        self.events.push_back(Happened::Lapsed(id));
+        if over {
+            // The core still has to be told of it; it needs nothing of ours for that.
+            self.open.remove(&id);
+        }
+    }
+
+    pub fn front_closed(&mut self, connection: u64) {
+        let Some(front) = self.fronts.remove(&connection) else { return };
+        let _ = front.stream.get_ref().shutdown(std::net::Shutdown::Both);
+        let mut left: Vec<u64> = front.open.into_values().collect();
+        left.sort_unstable();
+        left.into_iter().for_each(|id| self.lapse(id));
+    }
+
+    // Shots.
+
+    fn send(&mut self, id: u64, stop_at: f64, node: NodeId) {
+        let Some(t) = self.open.get_mut(&id) else { return };
+        let number = t.shots;
+        t.shots += 1;
+        let stop_at = if stop_at > 0.0 { stop_at.min(t.outer) } else { t.outer };
+        let (sent_at, progress) = (self.now, Progress::Opening);
+        t.shot = Some(Shot { number, node: node.clone(), progress, at: None, sent_at });
+        self.counts.shots += 1;
+        self.counts.further += u64::from(number > 0);
+        if t.client.is_none() || stop_at <= self.now {
+            return self.end_shot(id, number, Ended::TimeUp, Told::default());
+        }
+        self.timers.set(stop_at, Timer::Stop(id, number));
+        let known = self.nodes.entry(node.clone()).or_default();
+        match known.link {
+            Link::Up(io, _) => self.submit(io, id, number),
+            Link::Opening => known.waiting.push_back((id, number)),
+            Link::Closed => {
+                known.waiting.push_back((id, number));
+                self.open_link(node);
+            }
+        }
+    }
+
+    fn open_link(&mut self, name: NodeId) {
+        let (Some(executor), Some(node)) = (self.executor.upgrade(), self.nodes.get_mut(&name)) else {
+            return;
+        };
+        node.link = Link::Opening;
+        self.counts.connects += 1;
+        executor.spawn(net::open_link(self.me.clone(), name)).detach();
+    }
+
+    /// Puts a shot into a connection's queue; a full queue is retired and the shot waits for a fresh one.
+    fn submit(&mut self, connection: u64, id: u64, number: u32) {
+        let (Some(t), Some(back)) = (self.open.get_mut(&id), self.backs.get_mut(&connection)) else { return };
+        let Some(shot) = t.shot.as_mut().filter(|shot| shot.number == number) else { return };
+        let left = ((t.outer - self.now).max(0.0) * 1e3).ceil() as u32;
+        let marks = Marks { shot: number as u8, budget_ms: left.max(1), key: t.extent as u32, ..t.marks };
+        let blocks = (t.sqe.length() / BLOCK_SIZE) as u32;
+        let sqe = marks.put(Sqe::transfer(t.sqe.opcode, t.sqe.nsid, t.sqe.slba(), blocks));
+        back.used_at = self.now;
+        match back.machine.submit(sqe, t.data.to_vec(), t.read) {
+            Some((cid, bytes)) => {
+                shot.progress.to(Progress::Queued);
+                shot.at = Some((connection, cid));
+                back.queue.push_back(Queued { id, shot: number, cid, bytes });
+                back.shots.insert(cid, (id, number));
+                self.dirty.push(connection);
+            }
+            None => {
+                let node = back.node.clone();
+                back.retired = true;
+                self.nodes.entry(node.clone()).or_default().waiting.push_back((id, number));
+                self.open_link(node);
+            }
+        }
+    }
+
+    /// A shot has ended, by whatever: our side of it is cleared, and the core hears of it.
+    fn end_shot(&mut self, id: u64, number: u32, ended: Ended, told: Told) {
+        let Some(t) = self.open.get_mut(&id) else { return };
+        let Some(shot) = t.shot.as_mut().filter(|shot| shot.number == number) else { return };
+        match shot.at.take() {
+            None => {
+                let node = self.nodes.get_mut(&shot.node);
+                node.into_iter().for_each(|node| node.waiting.retain(|known| *known != (id, number)));
+            }
+            Some((connection, cid)) => {
+                if let Some(back) = self.backs.get_mut(&connection) {
+                    back.shots.remove(&cid);
+                    if let Some(at) = back.queue.iter().position(|one| one.cid == cid) {
+                        back.queue.remove(at);
+                        back.machine.withdraw(cid);
+                        self.counts.withdrawn += 1;
+                    } else if !matches!(ended, Ended::Answered(_) | Ended::Lost) {
+                        back.machine.forget(cid);
+                        let node = back.node.clone();
+                        self.abort(&node, connection, cid);
+                    }
+                }
+            }
+        }
+        self.events.push_back(Happened::Back(id, number, ended, told));
+    }
+
+    /// Asks the node to stop work that nobody waits for, on the association's admin queue.
+    fn abort(&mut self, node: &NodeId, connection: u64, cid: u16) {
+        let Some(Link::Up(io, admin)) = self.nodes.get(node).map(|node| &node.link) else { return };
+        if *io != connection {
+            return;
+        }
+        let admin = *admin;
+        let Some(back) = self.backs.get_mut(&admin) else { return };
+        if let Some((_, bytes)) = back.machine.submit(Sqe::abort(1, cid), Vec::new(), 0) {
+            back.machine.out.extend(bytes);
+            self.dirty.push(admin);
+        }
+    }
+
+    pub fn link_opened(
+        &mut self, name: &NodeId, io: (Host, Rc<Async<TcpStream>>), admin: (Host, Rc<Async<TcpStream>>),
+    ) -> (u64, u64) {
+        let mut ids = [0; 2];
+        for (at, (machine, stream)) in [io, admin].into_iter().enumerate() {
+            ids[at] = self.next_connection;
+            self.next_connection += 1;
+            let back = Back {
+                node: name.clone(),
+                stream,
+                machine,
+                queue: VecDeque::new(),
+                current: Vec::new(),
+                sent: 0,
+                leaving: VecDeque::new(),
+                shots: HashMap::new(),
+                stuck_since: None,
+                used_at: self.now,
+                blocked: false,
+                retired: false,
+            };
+            self.backs.insert(ids[at], back);
+        }
+        let node = self.nodes.entry(name.clone()).or_default();
+        node.link = Link::Up(ids[0], ids[1]);
+        let waiting: Vec<_> = node.waiting.drain(..).collect();
+        waiting.into_iter().for_each(|(id, number)| self.submit(ids[0], id, number));
+        (ids[0], ids[1])
+    }
+
+    pub fn link_failed(&mut self, name: &NodeId, why: &str) {
+        self.counts.connects_failed += 1;
+        debug!(node = %name.0, why, "no connection");
+        let Some(node) = self.nodes.get_mut(name) else { return };
+        node.link = Link::Closed;
+        let waiting: Vec<_> = node.waiting.drain(..).collect();
+        for (id, number) in waiting {
+            self.end_shot(id, number, Ended::Lost, Told::default());
+        }
+    }
+
+    /// Bytes of a node. False where the connection is of no more use.
+    pub fn back_read(&mut self, connection: u64, bytes: &[u8]) -> bool {
+        let Some(back) = self.backs.get_mut(&connection) else { return false };
+        let mut events = Vec::new();
+        let fed = back.machine.feed(bytes, &mut events);
+        let stays = back.machine.pending() > 0 || back.sent < back.current.len();
+        back.stuck_since = if stays { back.stuck_since.or(Some(self.now)) } else { None };
+        if !back.machine.out.is_empty() {
+            self.dirty.push(connection);
+        }
+        let node = back.node.clone();
+        let mut good = fed.is_ok();
+        if let Err(why) = fed {
+            warn!(node = %node.0, %why, "a node broke the protocol");
+        }
+        for event in events {
+            match event {
+                host::Event::Done { cid, cqe, data } => self.back_done(connection, cid, cqe, data),
+                host::Event::Late { .. } => self.counts.late_answers += 1,
+                host::Event::Terminated { status, info } => {
+                    warn!(node = %node.0, status, info, "the node ended the connection");
+                    good = false;
+                }
+                host::Event::Ready { .. } | host::Event::Refused { .. } => {}
+            }
+        }
+        good
+    }
+
+    fn back_done(&mut self, connection: u64, cid: u16, cqe: Cqe, data: Vec<u8>) {
+        let Some(back) = self.backs.get_mut(&connection) else { return };
+        // Answers to our Aborts, on the admin queue, decide nothing.
+        let Some((id, number)) = back.shots.remove(&cid) else { return };
+        let told = Told::of(&cqe);
+        if status::code(cqe.status) == status::SUCCESS {
+            // The client's answer; the core is told in the same turn that the transaction is over.
+            let owed = self.open.get(&id).is_some_and(|t| t.client.is_some());
+            if owed {
+                self.settle(id, &data);
+            }
+        }
+        if let Some(shot) = self.open.get_mut(&id).and_then(|t| t.shot.as_mut()) {
+            shot.at = None;
+        }
+        self.end_shot(id, number, Ended::Answered(cqe.status), told);
+    }
+
+    fn settle(&mut self, id: u64, data: &[u8]) {
+        self.counts.settled += 1;
+        self.answer(id, status::SUCCESS, 0, data);
+    }
+
+    pub fn back_closed(&mut self, connection: u64) {
+        let Some(back) = self.backs.remove(&connection) else { return };
+        let _ = back.stream.get_ref().shutdown(std::net::Shutdown::Both);
+        let mut lost: Vec<(u64, u32)> = back.shots.into_values().collect();
+        lost.sort_unstable();
+        let node = self.nodes.get_mut(&back.node);
+        let peer = node.and_then(|node| match node.link {
+            Link::Up(io, admin) if io == connection || admin == connection => {
+                node.link = Link::Closed;
+                Some(if io == connection { admin } else { io })
+            }
+            _ => None,
+        });
+        for (id, number) in lost {
+            if let Some(shot) = self.open.get_mut(&id).and_then(|t| t.shot.as_mut()) {
+                shot.at = None;
+            }
+            self.end_shot(id, number, Ended::Lost, Told::default());
+        }
+        // Both queues of an association live and die together.
+        peer.into_iter().for_each(|peer| self.back_closed(peer));
+    }
+
+    fn close_idle(&mut self, node: &NodeId) {
+        let Some(Link::Up(io, _)) = self.nodes.get(node).map(|node| &node.link) else { return };
+        let io = *io;
+        if self.backs.get(&io).is_some_and(|back| back.machine.live() == 0 && back.queue.is_empty()) {
+            self.back_closed(io);
+        }
+    }
+
+    // Output.
+
+    /// Writes what a connection has to write, as far as the kernel takes it.
+    pub fn flush(&mut self, connection: u64) {
+        if let Some(front) = self.fronts.get_mut(&connection) {
+            let written = write_out(front.stream.get_ref(), &mut front.machine.out, &mut front.sent);
+            match written {
+                Ok(true) => {
+                    if !front.machine.unfinished() {
+                        front.stuck_since = None;
+                    }
+                }
+                Ok(false) => {
+                    front.stuck_since = front.stuck_since.or(Some(self.now));
+                    if !std::mem::replace(&mut front.blocked, true) {
+                        self.drain_later(connection);
+                    }
+                }
+                Err(_) => self.front_closed(connection),
+            }
+        } else if self.backs.contains_key(&connection) {
+            match self.flush_back(connection) {
+                Ok(true) => {}
+                Ok(false) => {
+                    let back = self.backs.get_mut(&connection).unwrap();
+                    back.stuck_since = back.stuck_since.or(Some(self.now));
+                    if !std::mem::replace(&mut back.blocked, true) {
+                        self.drain_later(connection);
+                    }
+                }
+                Err(_) => self.back_closed(connection),
+            }
+        }
+    }
+
+    fn drain_later(&mut self, connection: u64) {
+        let stream = self.stream(connection);
+        if let (Some(executor), Some(stream)) = (self.executor.upgrade(), stream) {
+            executor.spawn(net::drain(self.me.clone(), connection, stream)).detach();
+        }
+    }
+
+    pub fn stream(&self, connection: u64) -> Option<Rc<Async<TcpStream>>> {
+        let front = self.fronts.get(&connection).map(|front| &front.stream);
+        front.or_else(|| self.backs.get(&connection).map(|back| &back.stream)).cloned()
+    }
+
+    /// The kernel takes bytes again.
+    pub fn unblocked(&mut self, connection: u64) {
+        if let Some(front) = self.fronts.get_mut(&connection) {
+            (front.blocked, front.stuck_since) = (false, None);
+        } else if let Some(back) = self.backs.get_mut(&connection) {
+            (back.blocked, back.stuck_since) = (false, None);
+        }
+        self.flush(connection);
+    }
+
+    fn flush_back(&mut self, connection: u64) -> io::Result<bool> {
+        loop {
+            let back = self.backs.get_mut(&connection).unwrap();
+            if back.sent == back.current.len() {
+                back.current.clear();
+                back.sent = 0;
+                // Answers to R2T first: they finish commands that have begun.
+                std::mem::swap(&mut back.current, &mut back.machine.out);
+                while back.current.len() < BATCH {
+                    let Some(one) = back.queue.pop_front() else { break };
+                    let start = back.current.len();
+                    back.current.extend_from_slice(&one.bytes);
+                    back.leaving.push_back((start, back.current.len(), one.id, one.shot));
+                }
+                if back.current.is_empty() {
+                    return Ok(true);
+                }
+            }
+            let mut stream = back.stream.get_ref();
+            let written = match stream.write(&back.current[back.sent..]) {
+                Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+                Ok(written) => Ok(written),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => Err(error),
+            };
+            let blocked = match written {
+                Ok(written) => {
+                    back.sent += written;
+                    false
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => true,
+                Err(error) => return Err(error),
+            };
+            if blocked {
+                self.unmix(connection);
+                return Ok(false);
+            }
+            let back = self.backs.get_mut(&connection).unwrap();
+            let sent = back.sent;
+            let begun: Vec<_> = back
+                .leaving
+                .iter()
+                .filter(|(start, ..)| *start < sent)
+                .map(|(_, end, id, shot)| (*id, *shot, *end <= sent))
+                .collect();
+            while back.leaving.front().is_some_and(|(_, end, ..)| *end <= sent) {
+                back.leaving.pop_front();
+            }
+            for (id, number, whole) in begun {
+                let shot = self.open.get_mut(&id).and_then(|t| t.shot.as_mut());
+                let Some(shot) = shot.filter(|shot| shot.number == number) else { continue };
+                let next = if whole { Progress::Out } else { Progress::Leaving };
+                if shot.progress < next {
+                    shot.progress.to(next);
+                }
+            }
+        }
+    }
+
+    /// Puts commands of a batch none of whose bytes left back into the queue, from where they can be withdrawn:
+    /// a drain or a time-out may come before the kernel takes more.
+    fn unmix(&mut self, connection: u64) {
+        let back = self.backs.get_mut(&connection).unwrap();
+        let Some(keep) = back.leaving.iter().position(|(start, ..)| *start >= back.sent) else { return };
+        let first = back.leaving[keep].0;
+        let cids: HashMap<(u64, u32), u16> = back.shots.iter().map(|(cid, shot)| (*shot, *cid)).collect();
+        let mut back_again = Vec::new();
+        for (start, end, id, shot) in back.leaving.drain(keep..) {
+            let bytes = back.current[start..end].to_vec();
+            // A batch is made and unmade within one call, so no shot of it can have ended meanwhile.
+            back_again.push(Queued { id, shot, cid: cids[&(id, shot)], bytes });
+        }
+        back.current.truncate(first);
+        back_again.into_iter().rev().for_each(|one| back.queue.push_front(one));
+    }
+}
+
+/// Writes `out` from `sent` on; true when all is out.
+fn write_out(mut stream: &TcpStream, out: &mut Vec<u8>, sent: &mut usize) -> io::Result<bool> {
+    while *sent < out.len() {
+        match stream.write(&out[*sent..]) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => *sent += written,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+            Err(error) => return Err(error),
+        }
+    }
+    out.clear();
+    *sent = 0;
+    Ok(true)
+}
--- a/crates/initiator/src/lib.rs
+++ b/crates/initiator/src/lib.rs
@@ -1,1 +1,16 @@
+//! The running initiator: sockets, timers, and the core's actions carried out.
+//!
+//! [`run`] is one instance: one single-threaded executor, one core, connections of its own. Nothing is shared
+//! between instances of one process. What happens on the sockets becomes a call of the core in
+//! [`instance`], through the one table of [`outcome`]; what the core asks for is carried out there too.
 
+pub mod core;
+pub mod instance;
+pub mod list;
+pub mod net;
+pub mod outcome;
+pub mod register;
+pub mod wheel;
+
+pub use instance::Counts;
+pub use net::{run, Options};
--- /dev/null
+++ b/crates/initiator/src/list.rs
@@ -0,0 +1,194 @@
+//! The node list: its form on the register's wire, and the last one kept on disk.
+//!
+//! The register speaks lines of JSON, one object each. From a gateway: [`Call`]. To a gateway: [`News`].
+
+use std::io;
+use std::path::Path;
+
+use quaypath::types::{BlockId, Condition, NodeId};
+use serde::{Deserialize, Serialize};
+
+/// Longest line that either end takes, bytes.
+pub const LONGEST_LINE: usize = 1 << 20;
+/// Most nodes of one list.
+pub const MOST_NODES: usize = 65536;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Call {
+    /// First line of a connection.
+    Hello { gateway: u32 },
+    /// Changes from now on, or no more.
+    Watch { on: bool },
+    /// The whole list once.
+    Fetch,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum NewsScope {
+    Changes,
+    Whole,
+    /// A call failed.
+    Failed,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Address and port.
+    pub node: String,
+    pub zone: String,
+    /// Part of the data that it holds.
+    pub block: i64,
+    pub condition: EntryCondition,
+    /// Seconds since it last started; absent where it started long ago. An age, as clocks of two machines differ.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub age: Option<f64>,
+    /// Changes with every start.
+    #[serde(default)]
+    pub start: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EntryCondition {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    pub scope: NewsScope,
+    pub revision: u64,
+    #[serde(default)]
+    pub entries: Vec<Entry>,
+}
+
+/// An entry as the core takes it.
+pub type Known = (NodeId, BlockId, Condition, f64);
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Row {
+    node: String,
+    block: i64,
+    ready: bool,
+    /// On this machine's clock, seconds; 0: long ago.
+    started: f64,
+    start: u64,
+}
+
+/// The list as this initiator holds it: changes laid over the whole, starts turned into times of its own clock.
+#[derive(Debug, Default)]
+pub struct List {
+    rows: Vec<Row>,
+}
+
+impl List {
+    /// The last list on disk; empty where there is none. A file that cannot be read is as none, and told.
+    pub fn load(path: &Path) -> (Self, Option<String>) {
+        match std::fs::read(path) {
+            Ok(bytes) => match serde_json::from_slice(&bytes) {
+                Ok(rows) => (List { rows }, None),
+                Err(error) => (List::default(), Some(format!("{}: {error}", path.display()))),
+            },
+            Err(error) if error.kind() == io::ErrorKind::NotFound => (List::default(), None),
+            Err(error) => (List::default(), Some(format!("{}: {error}", path.display()))),
+        }
+    }
+
+    /// Writes beside the file and renames, so that a kill leaves the old list or the new one.
+    pub fn save(&self, path: &Path) -> io::Result<()> {
+        let beside = path.with_extension("new");
+        std::fs::write(&beside, serde_json::to_vec(&self.rows)?)?;
+        std::fs::rename(&beside, path)
+    }
+
+    pub fn known(&self) -> Vec<Known> {
+        self.rows.iter().map(Row::known).collect()
+    }
+
+    /// Lays news over the list and gives it in the core's terms, in order.
+    pub fn take(&mut self, now: f64, news: &News) -> Vec<Known> {
+        if news.scope == NewsScope::Whole {
+            self.rows.retain(|row| news.entries.iter().any(|entry| entry.node == row.node));
+        }
+        let mut told = Vec::new();
+        for entry in news.entries.iter().take(MOST_NODES) {
+            let started = entry.age.map_or(0.0, |age| now - age.clamp(0.0, now));
+            let at = self.rows.iter().position(|row| row.node == entry.node);
+            // The same start keeps the time that it was first given: the age comes with a delay that varies.
+            let kept = at.map(|at| &self.rows[at]).filter(|row| row.start == entry.start);
+            let started = kept.map_or(started, |row| row.started);
+            let condition = match entry.condition {
+                EntryCondition::Ready => Condition::Ready,
+                EntryCondition::Draining => Condition::Draining,
+                EntryCondition::Gone => Condition::Gone,
+            };
+            let row = Row {
+                node: entry.node.clone(),
+                block: entry.block,
+                ready: condition == Condition::Ready,
+                started,
+                start: entry.start,
+            };
+            told.push((NodeId(row.node.as_str().into()), BlockId(row.block), condition, started));
+            match (at, condition) {
+                (Some(at), Condition::Gone) => drop(self.rows.remove(at)),
+                (Some(at), _) => self.rows[at] = row,
+                (None, Condition::Gone) => {}
+                (None, _) => self.rows.push(row),
+            }
+        }
+        told
+    }
+}
+
+impl Row {
+    fn known(&self) -> Known {
+        let condition = if self.ready { Condition::Ready } else { Condition::Draining };
+        (NodeId(self.node.as_str().into()), BlockId(self.block), condition, self.started)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(node: &str, condition: EntryCondition, age: f64, start: u64) -> Entry {
+        let (node, zone) = (node.into(), "a".into());
+        Entry { node, zone, block: 1, condition, age: Some(age), start }
+    }
+
+    fn news(scope: NewsScope, entries: Vec<Entry>) -> News {
+        News { scope, revision: 1, entries }
+    }
+
+    /// A start told twice with different delays must not look like a second start: the core would forget its node.
+    #[test]
+    fn a_start_keeps_its_time_and_a_new_start_has_a_new_one() {
+        let mut list = List::default();
+        let first =
+            list.take(100.0, &news(NewsScope::Whole, vec![entry("n", EntryCondition::Ready, 5.0, 1)]));
+        let again =
+            list.take(110.0, &news(NewsScope::Whole, vec![entry("n", EntryCondition::Ready, 15.3, 1)]));
+        let new =
+            list.take(120.0, &news(NewsScope::Changes, vec![entry("n", EntryCondition::Ready, 0.5, 2)]));
+        assert_eq!((first[0].3, again[0].3, new[0].3), (95.0, 95.0, 119.5));
+    }
+
+    #[test]
+    fn what_is_kept_on_disk_is_what_was_known_and_a_torn_file_is_none() {
+        let path = std::env::temp_dir().join(format!("quaypath-list-{}", std::process::id()));
+        let mut list = List::default();
+        let drains = entry("m", EntryCondition::Draining, 1.0, 1);
+        list.take(50.0, &news(NewsScope::Whole, vec![entry("n", EntryCondition::Ready, 5.0, 1), drains]));
+        list.take(51.0, &news(NewsScope::Changes, vec![entry("gone", EntryCondition::Gone, 1.0, 1)]));
+        list.save(&path).unwrap();
+        assert_eq!(List::load(&path).0.known(), list.known());
+        std::fs::write(&path, b"[{\"node\":").unwrap();
+        let (torn, told) = List::load(&path);
+        assert!(torn.known().is_empty() && told.is_some());
+        std::fs::remove_file(&path).unwrap();
+    }
+}
--- a/crates/nvme/src/pdu.rs
+++ b/crates/nvme/src/pdu.rs
@@ -230,7 +230,7 @@
         if flags & (FLAG_HDGST | FLAG_DDGST) != 0 {
             return refused(fatal::INVALID_HEADER, 1, "a digest was not agreed on");
         }
-        if plen < hlen || plen > hlen + most + if pdo > hlen { pdo - hlen } else { 0 } {
+        if plen < hlen || plen > hlen + most + pdo.saturating_sub(hlen) {
             return refused(fatal::INVALID_HEADER, 4, "PLEN is out of bounds for the PDU type");
         }
         let term = matches!(kind, H2C_TERM | C2H_TERM);
--- /dev/null
+++ b/crates/settings/src/deployment.rs
@@ -0,0 +1,433 @@
+//! A deployment: what the core, the gateway and the rules need to know of it.
+
+use std::collections::BTreeMap;
+
+use quaypath::types::{Band, Plan, Repeat, Scope, Settings};
+use quaypath_rules as rules;
+use serde::Deserialize;
+
+use crate::{bad, Bad};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Mode {
+    /// Changes arrive by themselves.
+    Pushed,
+    /// Only after a watch or a fetch was asked for.
+    Asked,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listen {
+    #[serde(rename = "@address")]
+    pub address: String,
+    /// Most client connections.
+    #[serde(rename = "@connections")]
+    pub connections: usize,
+    /// Most open transactions; over it a command is turned away before the core.
+    #[serde(rename = "@open")]
+    pub open: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Register {
+    #[serde(rename = "@address")]
+    pub address: String,
+    #[serde(rename = "@mode")]
+    pub mode: Mode,
+    #[serde(rename = "@ask-within", default)]
+    pub ask_within: f64,
+}
+
+/// Waits on connections, seconds.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Connections {
+    #[serde(rename = "@connect")]
+    pub connect: f64,
+    #[serde(rename = "@idle")]
+    pub idle: f64,
+    /// How long a peer may leave a PDU unfinished.
+    #[serde(rename = "@half-pdu")]
+    pub half_pdu: f64,
+}
+
+#[derive(Deserialize)]
+struct AllowForm {
+    #[serde(rename = "@shots")]
+    shots: u32,
+    #[serde(rename = "@cancel")]
+    cancel: bool,
+    #[serde(rename = "@copies")]
+    copies: bool,
+    #[serde(rename = "@longest-return", default)]
+    longest_return: f64,
+}
+
+#[derive(Deserialize)]
+struct FurtherForm {
+    #[serde(rename = "@share")]
+    share: f64,
+    #[serde(rename = "@free")]
+    free: f64,
+    #[serde(rename = "@look-back")]
+    look_back: f64,
+}
+
+#[derive(Deserialize)]
+struct RulesForm {
+    #[serde(rename = "@answer-slack")]
+    answer_slack: f64,
+    #[serde(rename = "@drain-grace")]
+    drain_grace: f64,
+    #[serde(rename = "@start-capacity")]
+    start_capacity: f64,
+    #[serde(rename = "@cold-for")]
+    cold_for: f64,
+    #[serde(rename = "@fall-multiple")]
+    fall_multiple: f64,
+    #[serde(rename = "@overload-for")]
+    overload_for: f64,
+    #[serde(rename = "@young-units")]
+    young_units: f64,
+    #[serde(rename = "@key-quiet")]
+    key_quiet: f64,
+    further: Option<FurtherForm>,
+}
+
+#[derive(Deserialize)]
+struct UnitsForm {
+    #[serde(rename = "@mean")]
+    mean: f64,
+    #[serde(rename = "@most")]
+    most: u32,
+    #[serde(rename = "@metering")]
+    metering: f64,
+}
+
+#[derive(Deserialize)]
+struct LayoutForm {
+    #[serde(rename = "@initiators")]
+    initiators: u32,
+    #[serde(rename = "@nodes")]
+    nodes: u32,
+    #[serde(rename = "@zones")]
+    zones: u32,
+    #[serde(rename = "@extent-blocks")]
+    extent_blocks: u64,
+}
+
+#[derive(Deserialize)]
+struct BandForm {
+    #[serde(rename = "@name")]
+    name: String,
+    #[serde(rename = "@due")]
+    due: f64,
+    #[serde(rename = "@outer")]
+    outer: f64,
+    #[serde(rename = "@benefit")]
+    benefit: f64,
+    #[serde(rename = "@repeat")]
+    repeat: String,
+    #[serde(rename = "@scope", default)]
+    scope: String,
+    #[serde(rename = "@window", default)]
+    window: f64,
+    #[serde(rename = "@ordered", default)]
+    ordered: bool,
+    #[serde(rename = "@writes")]
+    writes: bool,
+}
+
+#[derive(Deserialize)]
+struct PlanForm {
+    #[serde(rename = "@name")]
+    name: String,
+    #[serde(rename = "@nominal")]
+    nominal: f64,
+    #[serde(rename = "@reservation")]
+    reservation: f64,
+    #[serde(rename = "@weight")]
+    weight: f64,
+    #[serde(rename = "@factor")]
+    factor: f64,
+    #[serde(rename = "@limit", default)]
+    limit: f64,
+    #[serde(rename = "@burst", default)]
+    burst: f64,
+    #[serde(rename = "@slack", default)]
+    slack: f64,
+}
+
+#[derive(Deserialize)]
+struct VolumesForm {
+    #[serde(rename = "@plan")]
+    plan: String,
+    #[serde(rename = "@first")]
+    first: u32,
+    #[serde(rename = "@count")]
+    count: u32,
+    #[serde(rename = "@initiators")]
+    initiators: u32,
+    #[serde(rename = "@nodes")]
+    nodes: u32,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct Form {
+    #[serde(rename = "@name")]
+    name: String,
+    listen: Listen,
+    register: Register,
+    connections: Connections,
+    allow: AllowForm,
+    rules: RulesForm,
+    units: UnitsForm,
+    layout: LayoutForm,
+    band: Vec<BandForm>,
+    plan: Vec<PlanForm>,
+    volumes: Vec<VolumesForm>,
+}
+
+/// One volume: an NVMe namespace whose id is the volume's number.
+#[derive(Clone, Debug)]
+pub struct Volume {
+    pub plan: usize,
+    pub initiators: u32,
+    /// Blocks (parts of the data, one node each) that its extents lie on, in turn.
+    pub blocks: Vec<i64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub name: String,
+    pub listen: Listen,
+    pub register: Register,
+    pub connections: Connections,
+    /// What the core is started with.
+    pub core: Settings,
+    /// What the rules are judged by.
+    pub book: rules::Book,
+    pub band_names: Vec<String>,
+    /// Longest time that a caller of each band waits, seconds; and whether the band writes.
+    pub outer: Vec<f64>,
+    pub writes: Vec<bool>,
+    pub plan_names: Vec<String>,
+    pub nominal: Vec<f64>,
+    pub most_units: u32,
+    /// Period of the use figures in answers, seconds; 0: none.
+    pub metering: f64,
+    pub nodes: u32,
+    pub zones: u32,
+    /// Logical blocks of one extent.
+    pub extent_blocks: u64,
+    pub volumes: BTreeMap<u32, Volume>,
+}
+
+impl Deployment {
+    /// Extent of a volume that a logical block lies in, and the part of the data that holds it.
+    pub fn place(&self, volume: &Volume, slba: u64) -> (u64, i64) {
+        let extent = slba / self.extent_blocks;
+        (extent, volume.blocks[(extent % volume.blocks.len() as u64) as usize])
+    }
+}
+
+/// Most volumes of one file; the core keeps an account of each.
+const MOST_VOLUMES: usize = 100_000;
+
+fn positive(place: &str, value: f64) -> Result<(), Bad> {
+    if value > 0.0 {
+        return Ok(());
+    }
+    bad(place, value, "must be above 0")
+}
+
+fn band(form: &BandForm, longest_return: f64) -> Result<(Band, rules::Band), Bad> {
+    let at = format!("band {}", form.name);
+    positive(&format!("{at}, due"), form.due)?;
+    if form.outer < form.due {
+        return bad(
+            format!("{at}, outer"),
+            form.outer,
+            format!("must be {} (its due time) or more", form.due),
+        );
+    }
+    if form.outer > 3600.0 {
+        return bad(format!("{at}, outer"), form.outer, "3600 s at most, as a timer is");
+    }
+    let repeat = match form.repeat.as_str() {
+        "repeatable" => Repeat::Repeatable,
+        "tagged" => Repeat::Tagged,
+        _ => Repeat::OnceOnly,
+    };
+    if repeat == Repeat::Tagged && (form.window <= 0.0 || form.scope.is_empty()) {
+        let found = format!("window {} and scope '{}'", form.window, form.scope);
+        return bad(at, found, "a tagged band states both: who drops its repeats and for how long (rule 2)");
+    }
+    if repeat != Repeat::Tagged && (form.window > 0.0 || !form.scope.is_empty()) {
+        return bad(at, "window or scope", "only a tagged band has them (rule 2)");
+    }
+    let scope = match form.scope.as_str() {
+        "zone" => Scope::Zone,
+        "cell" => Scope::Cell,
+        _ => Scope::All,
+    };
+    if longest_return > form.outer {
+        return bad("allow, longest-return", longest_return, format!("{at} waits {} s at most", form.outer));
+    }
+    let (window, ordered) = (form.window, form.ordered);
+    let core = Band { due: form.due, benefit: form.benefit, repeat, scope, window, ordered };
+    let judged = rules::Band {
+        name: form.name.clone(),
+        repeat: match repeat {
+            Repeat::Repeatable => rules::Repeat::Repeatable,
+            Repeat::Tagged => rules::Repeat::Tagged,
+            Repeat::OnceOnly => rules::Repeat::OnceOnly,
+        },
+        scope: match scope {
+            Scope::All => rules::Scope::All,
+            Scope::Zone => rules::Scope::Zone,
+            Scope::Cell => rules::Scope::Cell,
+        },
+        window,
+        ordered,
+    };
+    Ok((core, judged))
+}
+
+fn plan(form: &PlanForm, most_units: u32) -> Result<Plan, Bad> {
+    let at = format!("plan {}", form.name);
+    if form.limit > 0.0 && form.burst < f64::from(most_units) {
+        let rule = format!("a burst holds the largest transaction, {most_units} units (rule 7)");
+        return bad(format!("{at}, burst"), form.burst, rule);
+    }
+    if form.limit == 0.0 && (form.burst > 0.0 || form.slack > 0.0) {
+        return bad(at, "burst or slack without limit", "state the limit too (rule 7)");
+    }
+    if form.limit > 0.0 && form.reservation > form.limit {
+        return bad(format!("{at}, reservation"), form.reservation, "not above the plan's limit (rule 7)");
+    }
+    Ok(Plan {
+        limit: form.limit,
+        burst: form.burst,
+        reservation: form.reservation,
+        weight: form.weight,
+        factor: form.factor,
+    })
+}
+
+fn unique<'a>(what: &str, names: impl Iterator<Item = &'a String>) -> Result<(), Bad> {
+    let mut seen = std::collections::BTreeSet::new();
+    for name in names {
+        if !seen.insert(name) {
+            return bad(format!("{what} {name}"), "the name twice", "each name once");
+        }
+    }
+    Ok(())
+}
+
+pub(crate) fn decode(form: Form) -> Result<Deployment, Bad> {
+    unique("band", form.band.iter().map(|band| &band.name))?;
+    unique("plan", form.plan.iter().map(|plan| &plan.name))?;
+    let (allow, figures) = (&form.allow, &form.rules);
+    if allow.copies {
+        return bad("allow, copies", true, "two shots out at once are refused here (rule 2)");
+    }
+    positive("units, mean", form.units.mean)?;
+    positive("rules, overload-for", figures.overload_for)?;
+    if form.register.mode == Mode::Asked && form.register.ask_within <= 0.0 {
+        return bad("register, ask-within", form.register.ask_within, "an asked register states it (rule 3)");
+    }
+    let mut bands = Vec::new();
+    let mut judged = Vec::new();
+    for form in &form.band {
+        let (core, rule) = band(form, allow.longest_return)?;
+        bands.push(core);
+        judged.push(rule);
+    }
+    let plans = form.plan.iter().map(|one| plan(one, form.units.most)).collect::<Result<Vec<_>, _>>()?;
+    let (mut volumes, mut limits) = (BTreeMap::new(), BTreeMap::new());
+    for group in &form.volumes {
+        let at = format!("volumes from {}", group.first);
+        let Some(plan) = form.plan.iter().position(|plan| plan.name == group.plan) else {
+            return bad(at, format!("plan '{}'", group.plan), "a plan of this file");
+        };
+        if group.first == 0 {
+            return bad(at, 0, "numbers start at 1: they are namespace ids");
+        }
+        if group.nodes > form.layout.nodes || group.initiators > form.layout.initiators {
+            let found = format!("{} nodes, {} initiators", group.nodes, group.initiators);
+            let (nodes, initiators) = (form.layout.nodes, form.layout.initiators);
+            return bad(at, found, format!("at most the layout's {nodes} and {initiators}"));
+        }
+        if volumes.len() + group.count as usize > MOST_VOLUMES {
+            return bad(at, group.count, format!("{MOST_VOLUMES} volumes at most"));
+        }
+        for id in group.first..group.first.saturating_add(group.count) {
+            let nodes = i64::from(form.layout.nodes);
+            let blocks = (0..i64::from(group.nodes)).map(|step| (i64::from(id) * 7 + step) % nodes).collect();
+            if volumes.insert(id, Volume { plan, initiators: group.initiators, blocks }).is_some() {
+                return bad(at, format!("volume {id} twice"), "each volume once");
+            }
+            let of = &form.plan[plan];
+            if of.limit > 0.0 {
+                limits.insert(id, rules::Limit { rate: of.limit, burst: of.burst, slack: of.slack });
+            }
+        }
+    }
+    let further = figures.further.as_ref().map(|form| (form.share, form.free, form.look_back));
+    if let Some((.., look_back)) = further {
+        positive("rules, further, look-back", look_back)?;
+    }
+    let asked = form.register.mode == Mode::Asked;
+    let core = Settings {
+        initiators: f64::from(form.layout.initiators),
+        bands,
+        plans,
+        mean_units: form.units.mean,
+        young_units: figures.young_units,
+        metered: form.units.metering > 0.0,
+        may_cancel: allow.cancel,
+        most_shots: allow.shots,
+        advises_return: allow.longest_return > 0.0,
+        longest_return: allow.longest_return,
+        must_ask: asked,
+        start_capacity: figures.start_capacity,
+        cold_for: figures.cold_for,
+        fall_multiple: figures.fall_multiple,
+        overload_for: figures.overload_for,
+        key_quiet: figures.key_quiet,
+        further,
+    };
+    let book = rules::Book {
+        bands: judged,
+        limits,
+        answer_slack: figures.answer_slack,
+        drain_grace: figures.drain_grace,
+        overload_for: figures.overload_for,
+        key_quiet: figures.key_quiet,
+        most_shots: allow.shots,
+        copies: allow.copies,
+        further,
+        ask_within: asked.then_some(form.register.ask_within),
+        transit: 0.05,
+    };
+    Ok(Deployment {
+        name: form.name,
+        listen: form.listen,
+        register: form.register,
+        connections: form.connections,
+        core,
+        book,
+        outer: form.band.iter().map(|band| band.outer).collect(),
+        writes: form.band.iter().map(|band| band.writes).collect(),
+        band_names: form.band.into_iter().map(|band| band.name).collect(),
+        nominal: form.plan.iter().map(|plan| plan.nominal).collect(),
+        plan_names: form.plan.into_iter().map(|plan| plan.name).collect(),
+        most_units: form.units.most,
+        metering: form.units.metering,
+        nodes: form.layout.nodes,
+        zones: form.layout.zones,
+        extent_blocks: form.layout.extent_blocks,
+        volumes,
+    })
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,100 @@
+//! Settings files: deployments and days, in XML, checked against one schema (`quaypath.xsd`) when loaded, then
+//! for what a schema cannot say, then decoded into plain structs.
 
+mod day;
+mod deployment;
+
+use std::path::{Path, PathBuf};
+
+use thiserror::Error;
+
+pub use day::{Day, Fault, FaultKind, Fleet, Leave, Surge, Traffic};
+pub use deployment::{Connections, Deployment, Listen, Mode, Register, Volume};
+
+/// The schema, as shipped.
+pub const SCHEMA: &str = include_str!("quaypath.xsd");
+/// Longest settings file that is read, bytes.
+const LONGEST: u64 = 4 << 20;
+
+#[derive(Debug, Error)]
+pub enum Error {
+    #[error("{path}: {source}")]
+    Io { path: PathBuf, source: std::io::Error },
+    #[error("{path}: {length} bytes, {LONGEST} at most")]
+    Long { path: PathBuf, length: u64 },
+    #[error("{path}: not well-formed XML: {what}")]
+    Xml { path: PathBuf, what: String },
+    #[error("{path}:{line}: {what} (schema quaypath.xsd)")]
+    Schema { path: PathBuf, line: usize, what: String },
+    /// What the schema cannot say: `place` names element and attribute, `rule` what is allowed.
+    #[error("{path}: {place}: found {found}; {rule}")]
+    Check { path: PathBuf, place: String, found: String, rule: String },
+}
+
+/// A failed check, before the file's name is known.
+pub(crate) struct Bad {
+    place: String,
+    found: String,
+    rule: String,
+}
+
+pub(crate) fn bad<T>(
+    place: impl Into<String>, found: impl ToString, rule: impl Into<String>,
+) -> Result<T, Bad> {
+    Err(Bad { place: place.into(), found: found.to_string(), rule: rule.into() })
+}
+
+fn text_of(path: &Path) -> Result<String, Error> {
+    let io = |source| Error::Io { path: path.into(), source };
+    let length = std::fs::metadata(path).map_err(io)?.len();
+    if length > LONGEST {
+        return Err(Error::Long { path: path.into(), length });
+    }
+    std::fs::read_to_string(path).map_err(io)
+}
+
+/// Checks the text against the schema, and that its root is `root`.
+fn check(path: &Path, text: &str, root: &str) -> Result<(), Error> {
+    let schema = uppsala::parse(SCHEMA).expect("the shipped schema is XML");
+    let validator = uppsala::XsdValidator::from_schema(&schema).expect("the shipped schema is a schema");
+    let document =
+        uppsala::parse(text).map_err(|error| Error::Xml { path: path.into(), what: error.to_string() })?;
+    if let Some(error) = validator.validate(&document).first() {
+        let (line, what) = (error.line.unwrap_or(1), error.message.clone());
+        return Err(Error::Schema { path: path.into(), line, what });
+    }
+    let found = document
+        .document_element()
+        .and_then(|at| document.element(at))
+        .map(|e| e.name.local_name.to_string());
+    if found.as_deref() != Some(root) {
+        let (place, found) = ("root element".to_string(), found.unwrap_or_default());
+        return Err(Error::Check { path: path.into(), place, found, rule: format!("expected {root}") });
+    }
+    Ok(())
+}
+
+fn load<T, F: serde::de::DeserializeOwned>(
+    path: &Path, root: &str, decode: impl FnOnce(F) -> Result<T, Bad>,
+) -> Result<T, Error> {
+    let text = text_of(path)?;
+    check(path, &text, root)?;
+    let form: F = quick_xml::de::from_str(&text)
+        .map_err(|error| Error::Xml { path: path.into(), what: error.to_string() })?;
+    decode(form).map_err(|Bad { place, found, rule }| Error::Check { path: path.into(), place, found, rule })
+}
+
+/// Loads a deployment: schema, checks, decoded.
+pub fn deployment(path: &Path) -> Result<Deployment, Error> {
+    load(path, "deployment", deployment::decode)
+}
+
+/// Loads a day and the deployment that it names, relative to the day's own place.
+pub fn day(path: &Path) -> Result<(Day, Deployment), Error> {
+    let day: Day = load(path, "day", day::decode)?;
+    let beside = path.parent().unwrap_or(Path::new("")).join(&day.deployment);
+    let deployment = deployment(&beside)?;
+    let fit = day.fits(&deployment);
+    fit.map_err(|Bad { place, found, rule }| Error::Check { path: path.into(), place, found, rule })?;
+    Ok((day, deployment))
+}
