--- /dev/null
+++ b/crates/day/src/lib.rs
@@ -0,0 +1,6 @@
+//! A day on loopback: traffic planned ahead from a seed, gateways as processes of their own, stand-ins in this
+//! one, troubles by time; then the verdict and one table.
+
+pub mod plan;
+pub mod report;
+pub mod run;
--- /dev/null
+++ b/crates/day/src/plan.rs
@@ -0,0 +1,191 @@
+//! What a day will bring, planned ahead: the same for the same file whatever the timing.
+
+use quaypath_settings::{Day, Deployment, FaultKind, Surge};
+use quaypath_standins::client::Ask;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, Geometric};
+
+/// Extents of a volume that the clients use, for each node of it.
+const EXTENTS: u64 = 16;
+/// Share of a volume's transactions that its leading gateway gets, and how long one leads, seconds.
+const LEAD: f64 = 0.5;
+const LEADS_FOR: f64 = 10.0;
+
+fn surges<'a>(day: &'a Day, at: f64) -> impl Iterator<Item = &'a Surge> {
+    day.traffic.surge.iter().filter(move |surge| (surge.at..surge.at + surge.lasts).contains(&at))
+}
+
+/// Every client's first try, in order of time.
+pub fn traffic(day: &Day, deployment: &Deployment) -> Vec<Ask> {
+    let mut chance = SmallRng::seed_from_u64(day.seed);
+    let shares = day.shares(deployment);
+    let volumes: Vec<_> = deployment.volumes.iter().collect();
+    let sized: f64 = volumes.iter().map(|(_, volume)| deployment.nominal[volume.plan]).sum();
+    let weight = |at: f64, id: u32, plan: usize| {
+        let own = surges(day, at).filter(|surge| {
+            surge.volume.is_none_or(|volume| volume == id)
+                && surge.plan.as_ref().is_none_or(|name| *name == deployment.plan_names[plan])
+        });
+        deployment.nominal[plan] / sized * own.map(|surge| surge.times).product::<f64>()
+    };
+    let most: f64 = 1.0 + day.traffic.surge.iter().map(|surge| surge.times).sum::<f64>();
+    let gap = Exp::new(day.traffic.rate * most).expect("a rate above 0");
+    let units = Geometric::new(1.0 / deployment.core.mean_units.max(1.0)).expect("a mean of 1 or more");
+    let gateways = day.fleet.gateways;
+    let (mut asks, mut at) = (Vec::new(), 0.0);
+    loop {
+        at += gap.sample(&mut chance);
+        if at >= day.lasts {
+            return asks;
+        }
+        // Thinned from the highest rate there can be: one draw decides whether there is an arrival, and whose.
+        let mut draw = chance.random::<f64>() * most;
+        let found = volumes.iter().find(|(id, volume)| {
+            draw -= weight(at, **id, volume.plan);
+            draw < 0.0
+        });
+        let Some((id, volume)) = found else { continue };
+        let mut draw = chance.random::<f64>();
+        let band = shares.iter().position(|part| {
+            draw -= part;
+            draw < 0.0
+        });
+        let band = band.unwrap_or(shares.len() - 1);
+        let initiators = volume.initiators.min(gateways);
+        let leads = (at / LEADS_FOR) as u32;
+        let nth = if chance.random::<f64>() < LEAD { leads } else { chance.random_range(0..initiators) };
+        let extent = chance.random_range(0..EXTENTS * volume.blocks.len() as u64);
+        let due = deployment.core.bands[band].due;
+        let leave = day.traffic.leave.iter().find(|leave| (leave.at..leave.at + leave.lasts).contains(&at));
+        let leaves = leave.filter(|leave| chance.random::<f64>() < leave.part).map(|leave| leave.after * due);
+        asks.push(Ask {
+            at,
+            gateway: (**id * 5 + nth % initiators) % gateways,
+            volume: **id,
+            band,
+            units: (units.sample(&mut chance) as u32 + 1).min(deployment.most_units),
+            key: extent as u32 + 1,
+            slba: extent * deployment.extent_blocks,
+            blocks: 8.min(deployment.extent_blocks as u32),
+            initiators,
+            budget: deployment.outer[band],
+            leaves,
+        });
+    }
+}
+
+/// One step of the day's script.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// A fault of a node begins or ends; by block.
+    Node {
+        kind: FaultKind,
+        block: i64,
+        size: f64,
+        begins: bool,
+    },
+    /// Listed as draining.
+    Drain {
+        block: i64,
+    },
+    KillNode {
+        block: i64,
+    },
+    /// A cold node for this block comes up.
+    Replace {
+        block: i64,
+    },
+    KillGateway {
+        number: u32,
+    },
+    StartGateway {
+        number: u32,
+    },
+    StopGateway {
+        number: u32,
+    },
+    ContinueGateway {
+        number: u32,
+    },
+    Register {
+        kind: FaultKind,
+        size: f64,
+        begins: bool,
+    },
+}
+
+/// The day's troubles in order of time, drawn by its seed.
+pub fn script(day: &Day) -> Vec<(f64, Act)> {
+    let mut chance = SmallRng::seed_from_u64(day.seed ^ 0x5eed);
+    let mut acts = Vec::new();
+    let mut pick = |count: u32, part: f64, one: Option<u32>| -> Vec<u32> {
+        if let Some(one) = one {
+            return vec![one % count];
+        }
+        let mut all: Vec<u32> = (0..count).collect();
+        all.shuffle(&mut chance);
+        all.truncate((f64::from(count) * part).round().max(1.0) as usize);
+        all
+    };
+    for fault in &day.fault {
+        let (at, ends) = (fault.at, fault.at + fault.lasts);
+        let (kind, size) = (fault.kind, fault.size);
+        match kind {
+            FaultKind::RegisterFails | FaultKind::RegisterLate => {
+                acts.push((at, Act::Register { kind, size, begins: true }));
+                acts.push((ends, Act::Register { kind, size, begins: false }));
+            }
+            FaultKind::LateReports => {
+                for block in 0..i64::from(day.fleet.nodes) {
+                    acts.push((at, Act::Node { kind, block, size, begins: true }));
+                    acts.push((ends, Act::Node { kind, block, size, begins: false }));
+                }
+            }
+            FaultKind::KillInitiators => {
+                let picked = pick(day.fleet.gateways, fault.part, fault.node);
+                // Spread over the span, so that some are back before others go.
+                for (nth, number) in picked.iter().enumerate() {
+                    let at = at + fault.lasts * nth as f64 / picked.len() as f64;
+                    acts.push((at, Act::KillGateway { number: *number }));
+                    acts.push((at + fault.returns, Act::StartGateway { number: *number }));
+                }
+            }
+            FaultKind::StallInitiators => {
+                for number in pick(day.fleet.gateways, fault.part, fault.node) {
+                    let mut from = at;
+                    while from + size <= ends + 1e-9 {
+                        acts.push((from, Act::StopGateway { number }));
+                        acts.push((from + size, Act::ContinueGateway { number }));
+                        from += size + 2.0;
+                    }
+                }
+            }
+            FaultKind::Drain | FaultKind::Replace => {
+                let picked = pick(day.fleet.nodes, fault.part, fault.node);
+                let waves = fault.waves.max(1) as usize;
+                for (nth, block) in picked.iter().enumerate() {
+                    let block = i64::from(*block);
+                    let wave = nth * waves / picked.len();
+                    let at = at + fault.lasts * wave as f64 / waves as f64;
+                    let dies = if kind == FaultKind::Drain { at + size } else { at };
+                    if kind == FaultKind::Drain {
+                        acts.push((at, Act::Drain { block }));
+                    }
+                    acts.push((dies, Act::KillNode { block }));
+                    acts.push((dies + fault.returns, Act::Replace { block }));
+                }
+            }
+            _ => {
+                for block in pick(day.fleet.nodes, fault.part, fault.node) {
+                    let block = i64::from(block);
+                    acts.push((at, Act::Node { kind, block, size, begins: true }));
+                    acts.push((ends, Act::Node { kind, block, size, begins: false }));
+                }
+            }
+        }
+    }
+    acts.sort_by(|one, other| one.0.total_cmp(&other.0));
+    acts
+}
--- /dev/null
+++ b/crates/day/src/run.rs
@@ -0,0 +1,368 @@
+//! Runs a day: gateways as processes, stand-ins on threads of this one, the script by the clock.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use quaypath_initiator::list::EntryCondition;
+use quaypath_record::{Clock, Event, Writer};
+use quaypath_rules::{Repeat, Scope};
+use quaypath_settings::{Day, Deployment, FaultKind};
+use quaypath_standins::client::{self, Clients, Tally};
+use quaypath_standins::model::Figures;
+use quaypath_standins::register::Register;
+use quaypath_standins::target::{self, Fleet, Target};
+use rustix::process::{kill_process, Pid, Signal};
+use thiserror::Error;
+use tracing::{debug, info, warn};
+
+use crate::plan::{script, traffic, Act};
+
+#[derive(Debug, Error)]
+pub enum Error {
+    #[error("{what}: {source}")]
+    Io { what: String, source: std::io::Error },
+    #[error("gateway {number} did not start: {what}")]
+    Gateway { number: u32, what: String },
+    #[error(transparent)]
+    Record(#[from] quaypath_record::Error),
+}
+
+fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> Error {
+    let what = what.into();
+    |source| Error::Io { what, source }
+}
+
+pub struct Options {
+    /// The gateway's program.
+    pub gateway: PathBuf,
+    /// The deployment's file, as the gateways read it.
+    pub deployment: PathBuf,
+    /// Where record, lists and logs go.
+    pub folder: PathBuf,
+    /// Run the careless baseline in the gateways.
+    pub careless: bool,
+}
+
+/// What the gateways said of themselves at the end; for the table only, never for the verdict.
+pub type Books = BTreeMap<u32, serde_json::Value>;
+
+struct Gateway {
+    number: u32,
+    address: SocketAddr,
+    process: Option<(Child, ChildStdin, BufReader<std::process::ChildStdout>)>,
+    lives: u32,
+}
+
+impl Gateway {
+    fn start(&mut self, options: &Options, register: SocketAddr, record: &Writer) -> Result<(), Error> {
+        self.lives += 1;
+        let number = self.number;
+        let log = options.folder.join(format!("gateway-{number}-{}.log", self.lives));
+        let log = std::fs::File::create(&log).map_err(io(log.display().to_string()))?;
+        let mut command = Command::new(&options.gateway);
+        command
+            .arg("--settings")
+            .arg(&options.deployment)
+            .args(["--listen", &self.address.to_string(), "--register", &register.to_string()])
+            .args(["--number", &number.to_string(), "--seed", &(number * 1000 + self.lives).to_string()])
+            .arg("--list")
+            .arg(options.folder.join(format!("gateway-{number}.list")))
+            .args(["--log", "json", "--until-stdin-closes"])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(log);
+        if options.careless {
+            command.arg("--careless");
+        }
+        record.put(Event::Started { t: record.clock.now(), gateway: number });
+        let mut child = command.spawn().map_err(io(options.gateway.display().to_string()))?;
+        let (stdin, stdout) = (child.stdin.take().unwrap(), child.stdout.take().unwrap());
+        let mut lines = BufReader::new(stdout);
+        let mut line = String::new();
+        lines.read_line(&mut line).map_err(io(format!("gateway {number}")))?;
+        let address = line.trim().strip_prefix("listening ").and_then(|address| address.parse().ok());
+        let Some(address) = address else {
+            let status = child.wait().map(|status| status.to_string()).unwrap_or_default();
+            return Err(Error::Gateway { number, what: format!("'{}', {status}", line.trim()) });
+        };
+        self.address = address;
+        self.process = Some((child, stdin, lines));
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some((child, ..)) = &self.process {
+            // The process is a child of ours that was not waited for, so its id is its own.
+            if let Some(id) = Pid::from_raw(child.id() as i32) {
+                let _ = kill_process(id, signal);
+            }
+        }
+    }
+
+    fn kill(&mut self, record: &Writer) {
+        if let Some((mut child, ..)) = self.process.take() {
+            record.put(Event::Killed { t: record.clock.now(), gateway: self.number });
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Ends it in order and takes its counts.
+    fn finish(&mut self) -> Option<serde_json::Value> {
+        self.signal(Signal::CONT);
+        let (mut child, mut stdin, mut lines) = self.process.take()?;
+        let _ = stdin.flush();
+        drop(stdin);
+        let mut line = String::new();
+        let read = lines.read_line(&mut line);
+        let _ = child.wait();
+        read.ok().and_then(|_| serde_json::from_str(&line).ok())
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        if let Some((mut child, ..)) = self.process.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn zone(block: i64, deployment: &Deployment) -> String {
+    format!("hall-{}", block % i64::from(deployment.zones))
+}
+
+struct Stage<'a> {
+    day: &'a Day,
+    deployment: &'a Deployment,
+    options: &'a Options,
+    record: Writer,
+    register: Register,
+    fleet: Arc<Fleet>,
+    nominal: Arc<BTreeMap<u32, f64>>,
+    targets: BTreeMap<i64, Target>,
+    gateways: BTreeMap<u32, Gateway>,
+    started: u64,
+}
+
+impl Stage<'_> {
+    fn target(&mut self, block: i64, cold: bool) -> Result<(), Error> {
+        let (fleet, core) = (&self.day.fleet, &self.deployment.core);
+        let zone = zone(block, self.deployment);
+        let tagged = |band: &quaypath_rules::Band| {
+            let group = match band.scope {
+                Scope::All => "all".to_string(),
+                Scope::Zone => zone.clone(),
+                Scope::Cell => format!("cell-{block}"),
+            };
+            (band.repeat == Repeat::Tagged).then_some((group, band.window))
+        };
+        let bands = self.deployment.book.bands.iter();
+        let bands = bands.map(|band| target::BandRule { tagged: tagged(band) }).collect();
+        self.started += 1;
+        let options = target::Options {
+            block,
+            zone: zone.clone(),
+            cold,
+            seed: self.day.seed.wrapping_mul(31).wrapping_add(self.started),
+            figures: Figures {
+                cores: fleet.cores as usize,
+                unit_time: fleet.unit_time,
+                run_part: fleet.run_part,
+                recent: 3,
+                put_off: fleet.put_off,
+                flush_every: fleet.flush_every,
+                queue: fleet.queue * fleet.cores as usize,
+                start_capacity: core.start_capacity,
+                warm_after: fleet.warm_after,
+                fall_multiple: core.fall_multiple,
+                overload_for: core.overload_for,
+                young_units: core.young_units,
+                cancel_stops: fleet.cancel_stops,
+            },
+            bands,
+            metering: self.deployment.metering,
+            nominal: self.nominal.clone(),
+            fleet: self.fleet.clone(),
+            spread: 0.4,
+        };
+        let listener = target::listener().map_err(io("a target's port"))?;
+        let target = Target::start(options, listener, self.record.clone()).map_err(io("a target"))?;
+        let started = cold.then(|| self.record.clock.now());
+        let notice = if cold { fleet.notice * 0.5 } else { 0.0 };
+        self.register.list(&target.node, &zone, block, EntryCondition::Ready, started, notice);
+        self.targets.insert(block, target);
+        Ok(())
+    }
+
+    fn fault(&self, kind: FaultKind, on: String, begins: bool) {
+        let named = serde_name(kind);
+        self.record.put(Event::Fault { t: self.record.clock.now(), kind: named, on, begins });
+    }
+
+    fn act(&mut self, act: &Act) -> Result<(), Error> {
+        debug!(?act, "script");
+        match act {
+            Act::Node { kind, block, size, begins } => {
+                let Some(target) = self.targets.get(block) else { return Ok(()) };
+                let (on, size, begins) = (target.node.clone(), *size, *begins);
+                target.set(|faults| match kind {
+                    FaultKind::Slow => faults.slow = if begins { size } else { 1.0 },
+                    FaultKind::Pauses => faults.pause = if begins { size } else { 0.0 },
+                    FaultKind::FastErrors => faults.errors = if begins { size } else { 0.0 },
+                    FaultKind::LostAnswers => faults.lost = if begins { size } else { 0.0 },
+                    FaultKind::Resets => faults.resets = if begins { size } else { 0.0 },
+                    FaultKind::Refused => faults.refuse = begins,
+                    FaultKind::Partition => faults.partition = begins,
+                    FaultKind::LateReports => faults.late = if begins { size } else { 0.0 },
+                    _ => {}
+                });
+                self.fault(*kind, on, begins);
+            }
+            Act::Drain { block } => self.unlist(*block, EntryCondition::Draining, 0.0),
+            Act::KillNode { block } => {
+                // The register sees a dead process later than a notice.
+                self.unlist(*block, EntryCondition::Gone, self.day.fleet.notice);
+                self.targets.remove(block);
+            }
+            Act::Replace { block } => self.target(*block, true)?,
+            Act::KillGateway { number } => {
+                let gateway = self.gateways.get_mut(number);
+                gateway.into_iter().for_each(|gateway| gateway.kill(&self.record));
+            }
+            Act::StartGateway { number } => {
+                let register = self.register.address;
+                if let Some(gateway) =
+                    self.gateways.get_mut(number).filter(|gateway| gateway.process.is_none())
+                {
+                    gateway.start(self.options, register, &self.record)?;
+                }
+            }
+            Act::StopGateway { number } | Act::ContinueGateway { number } => {
+                let begins = matches!(act, Act::StopGateway { .. });
+                let (kind, on) = ("stall".to_string(), number.to_string());
+                if let Some(gateway) = self.gateways.get(number).filter(|gateway| gateway.process.is_some()) {
+                    gateway.signal(if begins { Signal::STOP } else { Signal::CONT });
+                }
+                self.record.put(Event::Fault { t: self.record.clock.now(), kind, on, begins });
+            }
+            Act::Register { kind, size, begins } => {
+                match kind {
+                    FaultKind::RegisterFails => self.register.fails(*begins),
+                    _ => self.register.late(if *begins { *size } else { 0.0 }),
+                }
+                self.fault(*kind, "register".into(), *begins);
+            }
+        }
+        Ok(())
+    }
+
+    fn unlist(&self, block: i64, condition: EntryCondition, after: f64) {
+        if let Some(target) = self.targets.get(&block) {
+            let zone = zone(block, self.deployment);
+            self.register.list(&target.node, &zone, block, condition, None, after);
+        }
+    }
+}
+
+fn serde_name(kind: FaultKind) -> String {
+    let text = format!("{kind:?}");
+    let mut name = String::new();
+    for (at, letter) in text.chars().enumerate() {
+        if letter.is_uppercase() && at > 0 {
+            name.push('-');
+        }
+        name.extend(letter.to_lowercase());
+    }
+    name
+}
+
+/// Where a day's record goes in its folder.
+pub fn record_path(folder: &Path) -> PathBuf {
+    folder.join("record.jsonl")
+}
+
+/// Runs the day; gives what the gateways counted and how the clients fared. The record is in the folder.
+pub fn run(day: &Day, deployment: &Deployment, options: &Options) -> Result<(Books, Tally), Error> {
+    std::fs::create_dir_all(&options.folder).map_err(io(options.folder.display().to_string()))?;
+    let record = Writer::file(&record_path(&options.folder), Clock::default())?;
+    let listener = target::listener().map_err(io("the register's port"))?;
+    let register = Register::start(deployment.register.mode, listener, record.clone());
+    let nominal =
+        deployment.volumes.iter().map(|(id, volume)| (*id, deployment.nominal[volume.plan])).collect();
+    let mut stage = Stage {
+        day,
+        deployment,
+        options,
+        record: record.clone(),
+        register: register.map_err(io("the register"))?,
+        fleet: Arc::default(),
+        nominal: Arc::new(nominal),
+        targets: BTreeMap::new(),
+        gateways: BTreeMap::new(),
+        started: 0,
+    };
+    for block in 0..i64::from(day.fleet.nodes) {
+        stage.target(block, false)?;
+    }
+    for number in 0..day.fleet.gateways {
+        // A loopback address of its own, so that nothing takes its port while it is down.
+        let [high, low] = (number as u16 + 1).to_be_bytes();
+        let address = SocketAddr::from(([127, 1, high, low], 0));
+        let mut gateway = Gateway { number, address, process: None, lives: 0 };
+        gateway.start(options, stage.register.address, &record)?;
+        stage.gateways.insert(number, gateway);
+    }
+    let asks = Arc::new(traffic(day, deployment));
+    info!(
+        transactions = asks.len(),
+        gateways = day.fleet.gateways,
+        nodes = day.fleet.nodes,
+        "the day begins"
+    );
+    let start = record.clock.now() + 0.5;
+    let bands = deployment.book.bands.iter().zip(&deployment.writes);
+    let clients = Clients::start(
+        client::Options {
+            seed: day.seed ^ 0xc11e,
+            bands: bands
+                .map(|(band, writes)| client::BandRule { repeat: band.repeat, writes: *writes })
+                .collect(),
+            retries: day.traffic.retries,
+            backoff: 0.1,
+            gateways: stage.gateways.iter().map(|(number, gateway)| (*number, gateway.address)).collect(),
+            plan: asks,
+            start,
+        },
+        record.clone(),
+    );
+    for (at, act) in script(day) {
+        let wait = start + at - record.clock.now();
+        std::thread::sleep(Duration::from_secs_f64(wait.max(0.0)));
+        stage.act(&act)?;
+    }
+    let longest = deployment.outer.iter().copied().fold(0.0, f64::max);
+    let latest = start + day.lasts + 2.0 * longest + 3.0;
+    while !clients.tally.lock().unwrap().done && record.clock.now() < latest {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let tally = clients.tally.lock().unwrap().clone();
+    if !tally.done {
+        warn!(open = tally.open, "clients still wait at the end of the day");
+    }
+    // What still runs at the nodes is given the time to show.
+    std::thread::sleep(Duration::from_millis(200));
+    drop(clients);
+    let books = stage.gateways.iter_mut().filter_map(|(number, gateway)| Some((*number, gateway.finish()?)));
+    let books = books.collect();
+    record.flush()?;
+    drop(stage);
+    record.flush()?;
+    Ok((books, tally))
+}
--- a/crates/nvme/src/controller.rs
+++ b/crates/nvme/src/controller.rs
@@ -50,7 +50,7 @@
     size: u16,
     connect_cid: u16,
     head: u16,
-    /// Commands taken and not answered, with their opcodes.
+    /// Commands taken and not answered.
     open: BTreeMap<u16, Sqe>,
     gathering: BTreeMap<u16, Gathering>,
     waiting: VecDeque<u16>,
@@ -95,6 +95,11 @@
         self.open.len()
     }
 
+    /// An open command, by its id.
+    pub fn command(&self, cid: u16) -> Option<&Sqe> {
+        self.open.get(&cid)
+    }
+
     /// Takes bytes from the socket. After an error the connection is of no use; `out` ends with the term
     /// request that says why.
     pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), Refused> {
@@ -139,7 +144,7 @@
                 self.shift(State::Initialized);
             }
             (State::Initialized, Pdu::Command { sqe, data }) => self.connect(sqe, &data, events)?,
-            (State::Ready, Pdu::Command { sqe, data }) => self.command(sqe, data, events)?,
+            (State::Ready, Pdu::Command { sqe, data }) => self.begin(sqe, data, events)?,
             (State::Ready, Pdu::H2cData(part)) => self.data(part, events)?,
             _ => return refused(fatal::SEQUENCE, 0, "PDU does not belong in this state of the connection"),
         }
@@ -178,7 +183,7 @@
         Pdu::Response(Cqe { cid: self.connect_cid, status, ..Cqe::default() }).encode(&mut self.out);
     }
 
-    fn command(&mut self, sqe: Sqe, data: Vec<u8>, events: &mut Vec<Event>) -> Result<(), Refused> {
+    fn begin(&mut self, sqe: Sqe, data: Vec<u8>, events: &mut Vec<Event>) -> Result<(), Refused> {
         if self.open.len() + 1 >= usize::from(self.size) {
             return refused(fatal::LIMIT, 8, "more commands than the queue has entries");
         }
--- /dev/null
+++ b/crates/programs/src/bin/day.rs
@@ -0,0 +1,111 @@
+//! `quaypath-day`: runs a day of traffic and troubles on loopback, and judges it.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use quaypath_day::{plan, report, run};
+use quaypath_programs::{exit, Logs};
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Form {
+    Table,
+    Json,
+}
+
+/// Runs a day written in XML: gateways as processes, stand-ins for all else, troubles by time.
+#[derive(Parser)]
+#[command(version, after_help = "Example:\n  quaypath-day run days/bad-day.xml")]
+struct Arguments {
+    #[command(subcommand)]
+    act: Act,
+    #[command(flatten)]
+    logs: Logs,
+}
+
+#[derive(Subcommand)]
+enum Act {
+    /// Runs the day and judges it; exits 1 where a rule is broken
+    Run(Run),
+    /// Prints what the day will bring, without running it
+    Show {
+        /// The day, XML by quaypath.xsd
+        day: PathBuf,
+    },
+}
+
+#[derive(Args)]
+struct Run {
+    /// The day, XML by quaypath.xsd
+    day: PathBuf,
+    /// Run the careless baseline in the gateways, to see the rules broken
+    #[arg(long)]
+    careless: bool,
+    /// Where record, lists and logs go; a new folder under the system's temporary one where absent
+    #[arg(long)]
+    folder: Option<PathBuf>,
+    #[arg(long, value_enum, default_value = "table")]
+    format: Form,
+}
+
+fn run_day(arguments: Run) -> Result<bool, String> {
+    let (day, deployment) = quaypath_settings::day(&arguments.day).map_err(|error| error.to_string())?;
+    let beside = std::env::current_exe().map_err(|error| error.to_string())?;
+    let gateway = beside.with_file_name("quaypath-gateway");
+    if !gateway.exists() {
+        return Err(format!("{}: not there; build the whole workspace", gateway.display()));
+    }
+    let own = std::env::temp_dir().join(format!("quaypath-day-{}", std::process::id()));
+    let keep = arguments.folder.is_some();
+    let folder = arguments.folder.unwrap_or(own);
+    let options = run::Options {
+        gateway,
+        deployment: arguments.day.parent().unwrap_or(std::path::Path::new("")).join(&day.deployment),
+        folder: folder.clone(),
+        careless: arguments.careless,
+    };
+    let (books, tally) = run::run(&day, &deployment, &options).map_err(|error| error.to_string())?;
+    let report = report::of_files(&deployment, day.transit, &[run::record_path(&folder)])
+        .map_err(|error| error.to_string())?;
+    match arguments.format {
+        Form::Table => {
+            println!("{}", report.table());
+            println!("{} first tries found no gateway", tally.unreachable);
+            if books.len() < day.fleet.gateways as usize {
+                println!("{} gateways gave no counts at the end", day.fleet.gateways as usize - books.len());
+            }
+            println!("{}", report.verdict());
+        }
+        Form::Json => {
+            let whole =
+                serde_json::json!({ "report": report, "books": books, "unreachable": tally.unreachable });
+            println!("{whole}");
+        }
+    }
+    if keep || !report.kept() {
+        eprintln!("record and logs: {}", folder.display());
+    } else {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    Ok(report.kept())
+}
+
+fn show(path: &std::path::Path) -> Result<bool, String> {
+    let (day, deployment) = quaypath_settings::day(path).map_err(|error| error.to_string())?;
+    let asks = plan::traffic(&day, &deployment);
+    println!("{}: {} s, {} first tries", day.name, day.lasts, asks.len());
+    for (at, act) in plan::script(&day) {
+        println!("{at:8.2} s  {act:?}");
+    }
+    Ok(true)
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    arguments.logs.start();
+    let done = match arguments.act {
+        Act::Run(run) => run_day(run),
+        Act::Show { day } => show(&day),
+    };
+    exit("quaypath-day", done)
+}
--- /dev/null
+++ b/crates/programs/src/bin/target.rs
@@ -0,0 +1,111 @@
+//! `quaypath-target`: one stand-in target.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::Parser;
+use quaypath_programs::{exit, Logs};
+use quaypath_record::{Clock, Writer};
+use quaypath_rules::{Repeat, Scope};
+use quaypath_standins::model::Figures;
+use quaypath_standins::serve::Running;
+use quaypath_standins::target::{spawn, BandRule, Faults, Fleet, Options};
+
+/// A stand-in for a storage node: takes time for its work, keeps no data.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Example:\n  quaypath-target --settings deploy/samples/rail.xml --block 0 --unit-time 0.014"
+)]
+struct Arguments {
+    /// Deployment, XML by quaypath.xsd
+    #[arg(long)]
+    settings: PathBuf,
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Part of the data that it holds
+    #[arg(long)]
+    block: i64,
+    #[arg(long, default_value_t = 2)]
+    cores: usize,
+    /// Node time of one random unit, seconds; 0: no work
+    #[arg(long, default_value_t = 0.014)]
+    unit_time: f64,
+    /// Starts at part of its capacity
+    #[arg(long)]
+    cold: bool,
+    /// Where its record goes
+    #[arg(long)]
+    record: Option<PathBuf>,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[command(flatten)]
+    logs: Logs,
+}
+
+fn start(arguments: Arguments) -> Result<bool, String> {
+    let deployment = quaypath_settings::deployment(&arguments.settings).map_err(|error| error.to_string())?;
+    let record = match &arguments.record {
+        Some(path) => Writer::file(path, Clock::default()).map_err(|error| error.to_string())?,
+        None => Writer::none(),
+    };
+    let listener =
+        TcpListener::bind(arguments.listen).map_err(|error| format!("{}: {error}", arguments.listen))?;
+    println!("listening {}", listener.local_addr().map_err(|error| error.to_string())?);
+    let (block, core) = (arguments.block, &deployment.core);
+    let zone = format!("hall-{}", block.rem_euclid(i64::from(deployment.zones)));
+    let bands = deployment.book.bands.iter().map(|band| {
+        let group = match band.scope {
+            Scope::All => "all".to_string(),
+            Scope::Zone => zone.clone(),
+            Scope::Cell => format!("cell-{block}"),
+        };
+        BandRule { tagged: (band.repeat == Repeat::Tagged).then_some((group, band.window)) }
+    });
+    let options = Options {
+        block,
+        zone: zone.clone(),
+        cold: arguments.cold,
+        seed: arguments.seed,
+        figures: Figures {
+            cores: arguments.cores.max(1),
+            unit_time: arguments.unit_time.max(0.0),
+            run_part: 0.5,
+            recent: 3,
+            put_off: 0.3,
+            flush_every: 2.0,
+            queue: 50 * arguments.cores.max(1),
+            start_capacity: core.start_capacity,
+            warm_after: core.cold_for,
+            fall_multiple: core.fall_multiple,
+            overload_for: core.overload_for,
+            young_units: core.young_units,
+            cancel_stops: true,
+        },
+        bands: bands.collect(),
+        metering: deployment.metering,
+        nominal: Arc::new(
+            deployment.volumes.iter().map(|(id, one)| (*id, deployment.nominal[one.plan])).collect(),
+        ),
+        fleet: Arc::<Fleet>::default(),
+        spread: 0.4,
+    };
+    let (writer, faults) = (record.clone(), Arc::new(std::sync::Mutex::new(Faults::default())));
+    Running::here(move |executor| spawn(executor, options, listener, record, faults), async move {
+        loop {
+            async_io::Timer::after(std::time::Duration::from_millis(500)).await;
+            if let Err(error) = writer.flush() {
+                tracing::error!(%error, "the record loses lines");
+            }
+        }
+    });
+    Ok(true)
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    arguments.logs.start();
+    exit("quaypath-target", start(arguments))
+}
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -225,11 +225,17 @@
 }
 
 enum Sink {
+    None,
     Memory(Vec<Event>),
     File { path: PathBuf, file: BufWriter<File>, failed: Option<std::io::Error> },
 }
 
 impl Writer {
+    /// Keeps nothing.
+    pub fn none() -> Self {
+        Writer { clock: Clock::default(), sink: Arc::new(Mutex::new(Sink::None)) }
+    }
+
     pub fn memory(clock: Clock) -> Self {
         Writer { clock, sink: Arc::new(Mutex::new(Sink::Memory(Vec::new()))) }
     }
@@ -242,6 +248,7 @@
 
     pub fn put(&self, event: Event) {
         match &mut *self.sink.lock().unwrap() {
+            Sink::None => {}
             Sink::Memory(events) => events.push(event),
             Sink::File { file, failed, .. } => {
                 let done = serde_json::to_writer(&mut *file, &event).map_err(std::io::Error::from);
@@ -256,7 +263,7 @@
     pub fn taken(&self) -> Vec<Event> {
         let mut events = match &mut *self.sink.lock().unwrap() {
             Sink::Memory(events) => std::mem::take(events),
-            Sink::File { .. } => Vec::new(),
+            Sink::None | Sink::File { .. } => Vec::new(),
         };
         sort(&mut events);
         events
@@ -265,7 +272,7 @@
     /// Writes what is buffered, and tells if any line was lost.
     pub fn flush(&self) -> Result<(), Error> {
         match &mut *self.sink.lock().unwrap() {
-            Sink::Memory(_) => Ok(()),
+            Sink::None | Sink::Memory(_) => Ok(()),
             Sink::File { path, file, failed } => match failed.take().map_or_else(|| file.flush(), Err) {
                 Ok(()) => Ok(()),
                 Err(source) => Err(Error::Io { path: path.clone(), source }),
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -154,6 +154,8 @@
     /// Arrivals in ordered bands, judged once what was written at the same moment has been read: an answer and
     /// the next send of its key leave the gateway together.
     pending: VecDeque<(f64, u64, bool)>,
+    /// Spans in which a gateway process had no turn by script: it can neither hear nor answer in them.
+    stalls: HashMap<String, Vec<(f64, f64)>>,
     breaches: Vec<Breach>,
 }
 
@@ -177,12 +179,21 @@
         buckets: BTreeMap::new(),
         effects: HashMap::new(),
         pending: VecDeque::new(),
+        stalls: HashMap::new(),
         breaches: Vec::new(),
     };
     // A client that answers fast can write its line after a target that was faster still.
     for event in events {
-        if let Event::Ask { .. } = event {
-            judge.ask(event);
+        match event {
+            Event::Ask { .. } => judge.ask(event),
+            Event::Fault { t, kind, on, begins } if kind == "stall" => {
+                let spans = judge.stalls.entry(on.clone()).or_default();
+                match spans.last_mut() {
+                    Some(last) if !begins => last.1 = *t,
+                    _ => spans.push((*t, f64::INFINITY)),
+                }
+            }
+            _ => {}
         }
     }
     for event in events {
@@ -218,6 +229,13 @@
         }
     }
 
+    /// The first moment at or after `t` at which the gateway had a turn.
+    fn turn_at(&self, gateway: u32, t: f64) -> f64 {
+        let spans = self.stalls.get(&gateway.to_string());
+        let inside = |(from, to): &&(f64, f64)| *from - self.book.transit <= t && t < *to;
+        spans.and_then(|spans| spans.iter().find(inside)).map_or(t, |(_, to)| *to)
+    }
+
     fn life(&self, gateway: u32) -> u32 {
         self.lives.get(&gateway).copied().unwrap_or(0)
     }
@@ -362,6 +380,7 @@
             (*condition != Listed::Ready).then_some(at.max(up) + 4.0 * within)
         });
         let told = told.unwrap_or(f64::INFINITY).min(counts.unwrap_or(f64::INFINITY));
+        let told = self.turn_at(gateway, told);
         let late = t - told - self.book.drain_grace;
         if late > self.book.transit {
             let what = format!("gateway {gateway} sent to {node} {late:.3} s past the grace for its drain");
@@ -373,14 +392,7 @@
     fn again(&mut self, t: f64, node: &str, mark: u64) {
         let asked = &self.asked[&mark];
         let band = &self.book.bands[asked.band];
-        // The initiator reads an end a moment after the target wrote it, and acts on it at once.
-        let running = |shot: &&Shot| shot.ended.is_none_or(|(at, _)| at > t + self.book.transit);
-        let out = asked.shots.iter().find(running);
-        let unseen = out.is_some_and(|shot| self.cut_off.contains_key(&shot.node));
         let mut found = Vec::new();
-        if out.is_some() && !unseen && !self.book.copies {
-            found.push(format!("{} {mark:x} has two shots out at once", band.name));
-        }
         let ran = asked.shots.iter().filter(|shot| shot.may_have_run());
         for earlier in ran {
             let (block, zone) = self.zones.get(&earlier.node).cloned().unwrap_or_default();
@@ -439,10 +451,24 @@
     fn settle_order(&mut self, until: f64) {
         while let Some((t, mark, first)) = self.pending.front().copied().filter(|(t, ..)| *t <= until) {
             self.pending.pop_front();
+            self.alone(t, mark);
             self.order(t, mark, first);
         }
     }
 
+    /// No other shot of the transaction out beside one that arrived at `t`.
+    fn alone(&mut self, t: f64, mark: u64) {
+        let asked = &self.asked[&mark];
+        let running = |shot: &&Shot| {
+            let unseen = self.cut_off.contains_key(&shot.node);
+            shot.sent < t && !unseen && shot.ended.is_none_or(|(at, _)| at > t + self.book.transit)
+        };
+        if !self.book.copies && asked.shots.iter().any(|shot| running(&shot)) {
+            let what = format!("{} {mark:x} has two shots out at once", self.book.bands[asked.band].name);
+            self.breach(Rule::NoEffectTwice, t, what);
+        }
+    }
+
     /// Nothing for a key while an earlier one with it, taken by the same life, is not over.
     fn order(&mut self, t: f64, mark: u64, first: bool) {
         let asked = &self.asked[&mark];
@@ -504,7 +530,8 @@
         self.settle_order(f64::INFINITY);
         let mut found = Vec::new();
         for (mark, asked) in &self.asked {
-            let by = asked.t + asked.budget + self.book.answer_slack;
+            let due = self.turn_at(asked.gateway, asked.t + asked.budget);
+            let by = due + self.book.answer_slack;
             let band = &self.book.bands[asked.band].name;
             let killed = self.killed.get(&asked.gateway).into_iter().flatten();
             let excused = asked.left.is_some()
--- /dev/null
+++ b/crates/standins/src/client.rs
@@ -0,0 +1,378 @@
+//! Clients on loopback: keep associations with gateways, ask on a schedule, leave early, try again.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use quaypath_initiator::net::Notify;
+use quaypath_initiator::wheel::Wheel;
+use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, ANY_CONTROLLER};
+use quaypath_nvme::host::{Event, Host};
+use quaypath_nvme::{status, QUEUE_SIZE};
+use quaypath_record::{End, Event as Line, Writer};
+use quaypath_rules::Repeat;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::serve::{read_all, Output, Running, Switch};
+
+/// One first try, planned ahead.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// When, seconds from the start.
+    pub at: f64,
+    pub gateway: u32,
+    pub volume: u32,
+    pub band: usize,
+    pub units: u32,
+    pub key: u32,
+    pub slba: u64,
+    pub blocks: u32,
+    pub initiators: u32,
+    /// How long it waits, seconds.
+    pub budget: f64,
+    /// Leaves after this many seconds.
+    pub leaves: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct BandRule {
+    pub repeat: Repeat,
+    pub writes: bool,
+}
+
+#[derive(Clone)]
+pub struct Options {
+    pub seed: u64,
+    pub bands: Vec<BandRule>,
+    /// Tries after the first.
+    pub retries: u32,
+    /// Wait before a repeat that no answer advises, seconds.
+    pub backoff: f64,
+    pub gateways: BTreeMap<u32, SocketAddr>,
+    pub plan: Arc<Vec<Ask>>,
+    /// When second 0 is, on the record's clock.
+    pub start: f64,
+}
+
+/// How the clients fared.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub asked: u64,
+    pub answered: u64,
+    /// First tries that no gateway could be reached for.
+    pub unreachable: u64,
+    pub open: u64,
+    /// The plan is through and nothing is open.
+    pub done: bool,
+}
+
+pub struct Clients {
+    pub tally: Switch<Tally>,
+    _running: Running,
+}
+
+impl Clients {
+    pub fn start(options: Options, record: Writer) -> Clients {
+        let tally = Switch::<Tally>::default();
+        let shared = tally.clone();
+        let running = Running::start("clients", move |executor| {
+            let state = State {
+                chance: SmallRng::seed_from_u64(options.seed),
+                timers: Wheel::new(record.clock.now()),
+                record,
+                tally: shared,
+                queues: HashMap::new(),
+                open: HashMap::new(),
+                next_operation: 1,
+                next_ask: 0,
+                wake: Rc::default(),
+                options,
+            };
+            let state = Rc::new(RefCell::new(state));
+            let gateways = state.borrow().options.gateways.clone();
+            for (gateway, address) in gateways {
+                executor.spawn(keep(state.clone(), executor.clone(), gateway, address)).detach();
+            }
+            executor.spawn(ask(state)).detach();
+        });
+        Clients { tally, _running: running }
+    }
+}
+
+struct Queue {
+    stream: Rc<Async<TcpStream>>,
+    machine: Host,
+    output: Output,
+    /// Marks of its commands.
+    asked: HashMap<u16, u64>,
+}
+
+struct Waiting {
+    ask: usize,
+    gateway: u32,
+    cid: u16,
+    tries: u32,
+    left: bool,
+}
+
+enum Due {
+    /// Try operation again: its number and the try's.
+    Again(u64, usize, u32),
+    Leave(u64),
+}
+
+struct State {
+    options: Options,
+    record: Writer,
+    chance: SmallRng,
+    timers: Wheel<Due>,
+    tally: Arc<Mutex<Tally>>,
+    /// By gateway and queue (0: admin).
+    queues: HashMap<(u32, u16), Queue>,
+    open: HashMap<u64, Waiting>,
+    next_operation: u64,
+    next_ask: usize,
+    wake: Rc<Notify>,
+}
+
+type Shared = Rc<RefCell<State>>;
+
+/// Keeps an association with one gateway, made again whenever it ends.
+async fn keep(state: Shared, executor: Rc<LocalExecutor<'static>>, gateway: u32, address: SocketAddr) {
+    let weak = Rc::downgrade(&executor);
+    drop(executor);
+    loop {
+        let Some(executor) = weak.upgrade() else { return };
+        drop(executor);
+        let _ = associate(&state, gateway, address).await;
+        state.borrow_mut().cut(gateway);
+        Timer::after(Duration::from_millis(50)).await;
+    }
+}
+
+async fn associate(state: &Shared, gateway: u32, address: SocketAddr) -> io::Result<()> {
+    let admin = queue(state, gateway, address, 0, ANY_CONTROLLER).await?;
+    let io = queue(state, gateway, address, 1, admin.1).await?;
+    let reading = |number: u16, stream: Rc<Async<TcpStream>>| {
+        let state = state.clone();
+        async move { read_all(&stream, |bytes| state.borrow_mut().read(gateway, number, bytes)).await }
+    };
+    reading(0, admin.0).or(reading(1, io.0)).await
+}
+
+async fn queue(
+    state: &Shared, gateway: u32, address: SocketAddr, number: u16, controller: u16,
+) -> io::Result<(Rc<Async<TcpStream>>, u16)> {
+    let connect = async { Async::<TcpStream>::connect(address).await };
+    let late = async {
+        Timer::after(Duration::from_secs(1)).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let stream = Rc::new(connect.or(late).await?);
+    stream.get_ref().set_nodelay(true)?;
+    let host = format!("nqn.2026-12.example.quaypath:client:{gateway}");
+    let subsystem = "nqn.2026-12.example.quaypath:gateway";
+    let mut machine = Host::start(number, QUEUE_SIZE, controller, subsystem, &host);
+    let mut given = None;
+    let mut output = Output::default();
+    output.add(&mut machine.out);
+    output.flush(stream.get_ref())?;
+    let handshake = read_all(&stream, |bytes| {
+        let mut events = Vec::new();
+        let fed = machine.feed(bytes, &mut events);
+        output.add(&mut machine.out);
+        let sent = output.flush(stream.get_ref());
+        if let Some(Event::Ready { controller }) = events.pop() {
+            given = Some(controller);
+        }
+        fed.is_ok() && sent.is_ok() && given.is_none()
+    });
+    let late = async {
+        Timer::after(Duration::from_secs(2)).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    handshake.or(late).await?;
+    let Some(controller) = given else { return Err(io::ErrorKind::ConnectionReset.into()) };
+    let queue = Queue { stream: stream.clone(), machine, output, asked: HashMap::new() };
+    state.borrow_mut().queues.insert((gateway, number), queue);
+    Ok((stream, controller))
+}
+
+async fn ask(state: Shared) {
+    loop {
+        let (wait, wake) = {
+            let mut this = state.borrow_mut();
+            let next = this.run();
+            ((next - this.record.clock.now()).clamp(0.0, 0.5), this.wake.clone())
+        };
+        let timer = async {
+            Timer::after(Duration::from_secs_f64(wait)).await;
+        };
+        timer.or(wake.wait()).await;
+    }
+}
+
+impl State {
+    /// Does what is due; the time of the next.
+    fn run(&mut self) -> f64 {
+        let now = self.record.clock.now();
+        let mut due = Vec::new();
+        self.timers.ring(now, &mut due);
+        for what in due {
+            match what {
+                Due::Again(operation, ask, tries) => self.ask(operation, ask, tries),
+                Due::Leave(mark) => self.leave(mark),
+            }
+        }
+        while self.options.plan.get(self.next_ask).is_some_and(|ask| self.options.start + ask.at <= now) {
+            let operation = self.next_operation;
+            self.next_operation += 1;
+            self.next_ask += 1;
+            self.ask(operation, self.next_ask - 1, 0);
+        }
+        let next = self.options.plan.get(self.next_ask).map(|ask| self.options.start + ask.at);
+        let mut tally = self.tally.lock().unwrap();
+        tally.open = self.open.len() as u64;
+        tally.done = next.is_none() && self.open.is_empty() && self.timers.is_empty();
+        next.unwrap_or(f64::INFINITY).min(self.timers.next_at().unwrap_or(f64::INFINITY))
+    }
+
+    fn ask(&mut self, operation: u64, at: usize, tries: u32) {
+        let plan = self.options.plan.clone();
+        let ask = &plan[at];
+        let mark = operation << 8 | u64::from(tries);
+        let writes = self.options.bands[ask.band].writes;
+        let room = self.queues.get(&(ask.gateway, 1)).is_some_and(|queue| queue.machine.has_room());
+        if !room {
+            self.tally.lock().unwrap().unreachable += u64::from(tries == 0);
+            return self.try_again(operation, at, tries, self.options.backoff);
+        }
+        let opcode = if writes { opcode::WRITE } else { opcode::READ };
+        let marks = Marks {
+            band: ask.band as u8 + 1,
+            units: ask.units as u8,
+            initiators: ask.initiators as u16,
+            shot: 0,
+            mark,
+            key: ask.key,
+            budget_ms: (ask.budget * 1e3) as u32,
+        };
+        let sqe = marks.put(Sqe::transfer(opcode, ask.volume, ask.slba, ask.blocks));
+        let length = sqe.length();
+        let (data, expected) = if writes { (vec![0x5a; length], 0) } else { (Vec::new(), length) };
+        let queue = self.queues.get_mut(&(ask.gateway, 1)).unwrap();
+        let Some((cid, mut bytes)) = queue.machine.submit(sqe, data, expected) else { return };
+        queue.asked.insert(cid, mark);
+        queue.output.add(&mut bytes);
+        let t = self.record.clock.now();
+        let key = u64::from(ask.volume) << 32 | u64::from(ask.key);
+        let (gateway, volume, band, units) = (ask.gateway, ask.volume, ask.band, ask.units);
+        let budget = ask.budget;
+        self.record.put(Line::Ask { t, gateway, mark, volume, band, units, key, budget });
+        self.tally.lock().unwrap().asked += 1;
+        self.open.insert(mark, Waiting { ask: at, gateway, cid, tries, left: false });
+        if let Some(leaves) = ask.leaves {
+            self.timers.set(t + leaves, Due::Leave(mark));
+        }
+        self.flush(gateway, 1);
+    }
+
+    fn try_again(&mut self, operation: u64, at: usize, tries: u32, wait: f64) {
+        if tries < self.options.retries {
+            let wait = wait * self.chance.random_range(0.8..1.2);
+            self.timers.set(self.record.clock.now() + wait, Due::Again(operation, at, tries + 1));
+            self.wake.tell();
+        }
+    }
+
+    fn leave(&mut self, mark: u64) {
+        let Some(waiting) = self.open.get_mut(&mark).filter(|waiting| !waiting.left) else { return };
+        waiting.left = true;
+        let (gateway, cid) = (waiting.gateway, waiting.cid);
+        self.record.put(Line::Left { t: self.record.clock.now(), mark });
+        if let Some(admin) = self.queues.get_mut(&(gateway, 0)) {
+            if let Some((_, mut bytes)) = admin.machine.submit(Sqe::abort(1, cid), Vec::new(), 0) {
+                admin.output.add(&mut bytes);
+            }
+        }
+        self.flush(gateway, 0);
+    }
+
+    fn read(&mut self, gateway: u32, number: u16, bytes: &[u8]) -> bool {
+        let Some(queue) = self.queues.get_mut(&(gateway, number)) else { return false };
+        let mut events = Vec::new();
+        let good = queue.machine.feed(bytes, &mut events).is_ok();
+        queue.output.add(&mut queue.machine.out);
+        for event in events {
+            if let Event::Done { cid, cqe, .. } = event {
+                self.answered(gateway, number, cid, cqe);
+            }
+        }
+        self.flush(gateway, number);
+        good
+    }
+
+    fn answered(&mut self, gateway: u32, number: u16, cid: u16, cqe: Cqe) {
+        let Some(mark) = self.queues.get_mut(&(gateway, number)).and_then(|queue| queue.asked.remove(&cid))
+        else {
+            return;
+        };
+        let Some(waiting) = self.open.remove(&mark) else { return };
+        let t = self.record.clock.now();
+        let code = status::code(cqe.status);
+        if code == status::ABORTED_BY_REQUEST {
+            return;
+        }
+        let end = match code {
+            status::SUCCESS => End::Settled,
+            status::INTERRUPTED => End::Declined,
+            _ => End::Scrapped,
+        };
+        self.record.put(Line::Final { t, gateway, mark, end });
+        self.tally.lock().unwrap().answered += 1;
+        let band = self.options.plan[waiting.ask].band;
+        let again = match end {
+            End::Settled => false,
+            End::Declined => true,
+            End::Scrapped => self.options.bands[band].repeat == Repeat::Repeatable,
+        };
+        if again && !waiting.left {
+            let wait = if cqe.dw0 > 0 { f64::from(cqe.dw0) / 1e3 } else { self.options.backoff };
+            self.try_again(mark >> 8, waiting.ask, waiting.tries, wait);
+        }
+    }
+
+    /// The association with a gateway ended.
+    fn cut(&mut self, gateway: u32) {
+        let t = self.record.clock.now();
+        for number in [0, 1] {
+            let Some(queue) = self.queues.remove(&(gateway, number)) else { continue };
+            let _ = queue.stream.get_ref().shutdown(std::net::Shutdown::Both);
+            let mut marks: Vec<u64> = queue.asked.into_values().collect();
+            marks.sort_unstable();
+            for mark in marks {
+                let Some(waiting) = self.open.remove(&mark) else { continue };
+                self.record.put(Line::Cut { t, gateway, mark });
+                let band = self.options.plan[waiting.ask].band;
+                if self.options.bands[band].repeat == Repeat::Repeatable && !waiting.left {
+                    self.try_again(mark >> 8, waiting.ask, waiting.tries, self.options.backoff);
+                }
+            }
+        }
+    }
+
+    fn flush(&mut self, gateway: u32, number: u16) {
+        if let Some(queue) = self.queues.get_mut(&(gateway, number)) {
+            // What the kernel does not take now goes with the next call; a dead peer shows at the reader.
+            let _ = queue.output.flush(queue.stream.get_ref());
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,8 @@
+//! Stand-ins for what the gateway works with: targets, the node register, clients. Each has faults that are
+//! switched on and off by time, and writes down what crossed its sockets.
 
+pub mod client;
+pub mod model;
+pub mod register;
+pub mod serve;
+pub mod target;
--- /dev/null
+++ b/crates/standins/src/serve.rs
@@ -0,0 +1,155 @@
+//! What the stand-ins share: a thread with an executor of its own that ends when told, and small tools of it.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::future::yield_now;
+
+/// A running stand-in. Dropping it ends it: its sockets are closed at once, as a killed process's are.
+pub struct Running {
+    stop: Option<async_channel_lite::Sender>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// The smallest channel there is: one word, told once, across threads.
+mod async_channel_lite {
+    use std::future::poll_fn;
+    use std::sync::{Arc, Mutex};
+    use std::task::{Poll, Waker};
+
+    #[derive(Default)]
+    struct Shared {
+        told: bool,
+        waker: Option<Waker>,
+    }
+
+    pub struct Sender(Arc<Mutex<Shared>>);
+    pub struct Receiver(Arc<Mutex<Shared>>);
+
+    pub fn new() -> (Sender, Receiver) {
+        let shared = Arc::new(Mutex::new(Shared::default()));
+        (Sender(shared.clone()), Receiver(shared))
+    }
+
+    impl Sender {
+        pub fn tell(self) {
+            let mut shared = self.0.lock().unwrap();
+            shared.told = true;
+            if let Some(waker) = shared.waker.take() {
+                waker.wake();
+            }
+        }
+    }
+
+    impl Receiver {
+        pub async fn wait(self) {
+            poll_fn(|context| {
+                let mut shared = self.0.lock().unwrap();
+                if shared.told {
+                    return Poll::Ready(());
+                }
+                shared.waker = Some(context.waker().clone());
+                Poll::Pending
+            })
+            .await
+        }
+    }
+}
+
+impl Running {
+    /// Starts a thread that runs what `make` spawns on its executor until it is told to end.
+    pub fn start(name: &str, make: impl FnOnce(&Rc<LocalExecutor<'static>>) + Send + 'static) -> Self {
+        let (stop, stopped) = async_channel_lite::new();
+        let run = move || {
+            let executor = Rc::new(LocalExecutor::new());
+            make(&executor);
+            async_io::block_on(executor.run(stopped.wait()));
+        };
+        let thread = std::thread::Builder::new().name(name.into()).spawn(run).expect("a thread");
+        Running { stop: Some(stop), thread: Some(thread) }
+    }
+
+    /// Runs on this thread until `until` is done.
+    pub fn here(make: impl FnOnce(&Rc<LocalExecutor<'static>>), until: impl Future<Output = ()>) {
+        let executor = Rc::new(LocalExecutor::new());
+        make(&executor);
+        async_io::block_on(executor.run(until));
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.take().into_iter().for_each(|stop| stop.tell());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Output of one connection: bytes pile up to a bound and leave as the kernel takes them.
+#[derive(Default)]
+pub struct Output {
+    bytes: Vec<u8>,
+    sent: usize,
+}
+
+impl Output {
+    pub fn add(&mut self, bytes: &mut Vec<u8>) {
+        if self.sent == self.bytes.len() {
+            self.bytes.clear();
+            self.sent = 0;
+        }
+        self.bytes.append(bytes);
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.bytes.len() - self.sent
+    }
+
+    /// True when all is out.
+    pub fn flush(&mut self, mut stream: &TcpStream) -> io::Result<bool> {
+        while self.sent < self.bytes.len() {
+            match stream.write(&self.bytes[self.sent..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => self.sent += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(true)
+    }
+}
+
+/// Reads until the peer closes or `take` says that it is enough.
+pub async fn read_all(stream: &Async<TcpStream>, mut take: impl FnMut(&[u8]) -> bool) -> io::Result<()> {
+    let buffer = Rc::new(RefCell::new(vec![0; 64 << 10]));
+    loop {
+        let read = {
+            let mut direct = stream.get_ref();
+            let mut buffer = buffer.borrow_mut();
+            match direct.read(&mut buffer) {
+                Ok(0) => return Ok(()),
+                Ok(count) => Some(take(&buffer[..count])),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => Some(true),
+                Err(error) => return Err(error),
+            }
+        };
+        match read {
+            Some(false) => return Ok(()),
+            Some(true) => yield_now().await,
+            None => stream.readable().await?,
+        }
+    }
+}
+
+/// Shared with a running stand-in and changed from outside, by scripts.
+pub type Switch<T> = Arc<std::sync::Mutex<T>>;
