The core lets go of volumes, keys and news long idle, without a second burst

Need: a gateway runs for months; accounts of volumes, ordered keys and news of others must not pile up, and letting go must not become a way to a second burst. Change: once a minute what is idle past its refill is let go; a volume seen for the first time has filled its limit since the start, which is what its bucket would hold.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,7 +5,7 @@
 
 #![allow(clippy::too_many_arguments)] // events come as plain arguments
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use nanorand::{Rng, WyRand};
 
@@ -33,6 +33,7 @@
 /// Part of the rule's budget for a cold node that is claimed by what the node there settled before.
 const YOUNG_PART: f64 = 0.6;
 const LOOK_AHEAD: usize = 16; // transactions of a line that are looked at, if those before have to wait
+const IDLE: f64 = 60.0; // seconds without use, at least, after which an account is let go
 const GAP_CLAMP: f64 = 3.0; // times what the node's pace makes likely, that a single gap counts at most
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -150,6 +151,7 @@
     further: Ring,
     failed_calls: i32,
     began: Option<bool>,
+    swept_at: f64,
     /// Estimated node time of one random unit; units already tell a large transaction from a small one.
     unit_time: f64,
 }
@@ -184,6 +186,7 @@
             turns: BTreeMap::new(),
             failed_calls: 0,
             began: None,
+            swept_at: now,
             set,
         }
     }
@@ -229,12 +232,17 @@
         out: &mut impl Outbox,
     ) {
         self.taken.add(now, 1.0, 1.0);
+        if now >= self.swept_at + IDLE {
+            self.let_go(now);
+        }
         let plan = plan.unwrap_or(PlanId(self.set.plans.len() - 1));
         let (initiators, burst) = (initiators.max(1.0), self.set.plans[plan.0].burst);
-        // Empty unless all was seen from the beginning: a restart must not hand out a second burst.
+        // Empty at the start, unless all was seen from the beginning: a restart must not hand out a second burst.
+        // One that is let go, or first used late, has filled since the start; so it may be let go at all.
         let limit = if self.began == Some(true) { burst / initiators } else { 0.0 };
+        let filled_at = self.started;
         self.volumes.entry(volume.clone()).or_insert_with(|| {
-            let fresh = Volume { reserve: f64::INFINITY, filled_at: now, ..Volume::default() };
+            let fresh = Volume { reserve: f64::INFINITY, filled_at, ..Volume::default() };
             Volume { plan, initiators, limit, part: 1.0 / initiators, ..fresh }
         });
         // A client's repeat has less time left than a first try; what it spent counts against its due time.
@@ -305,6 +313,24 @@
         self.pump(now, block, out);
     }
 
+    /// How many volumes and ordered keys are held, for those who watch memory.
+    pub fn accounts(&self) -> (usize, usize) {
+        (self.volumes.len(), self.turns.len())
+    }
+
+    /// Against accounts without end: volumes whose limit is full again, keys that have rested, old news of others.
+    fn let_go(&mut self, now: f64) {
+        self.swept_at = now;
+        let used: BTreeSet<&VolumeId> = self.transactions.values().map(|t| &t.volume).collect();
+        self.volumes.retain(|name, volume| {
+            let plan = &self.set.plans[volume.plan.0];
+            let full = if plan.limit > 0.0 { 2.0 * plan.burst / plan.limit } else { 0.0 };
+            used.contains(name) || now - volume.filled_at < full.max(IDLE)
+        });
+        self.turns.retain(|_, turn| !turn.line.is_empty() || now < turn.quiet_until);
+        self.posts.values_mut().for_each(|post| post.told.retain(|_, at| now - *at < IDLE));
+    }
+
     /// Against work that nobody waits for. Where nodes go on with it all the same, its news is lost.
     pub fn lapsed(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
         let sent = self.transactions.get(&id).filter(|t| t.shot_out && self.set.may_cancel);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -229,3 +229,50 @@
         seen.iter().map(|line| line.split(' ').nth(1).unwrap()).collect();
     assert_eq!((ids.len(), seen.len()), (4000, 4000));
 }
+
+// Accounts are let go without loosening a guard.
+#[test]
+fn a_volume_long_idle_is_let_go_and_comes_back_without_a_second_burst() {
+    // Limit 10 units a second, burst 20; of two initiators each has the half. Ids are taken in turn.
+    let mut rig = one_node(settings());
+    let mut id = 0;
+    let mut flood = |rig: &mut Rig, at: f64| {
+        rig.run(at);
+        let mut sent = 0;
+        for _ in 0..20 {
+            id += 1;
+            rig.take(id, 0, 0, 1.0, Some(1));
+            sent += rig.sent();
+            rig.back(id, "a", Settled);
+            sent += rig.sent();
+        }
+        rig.run(at + 1.0);
+        rig.seen();
+        sent
+    };
+    let first = flood(&mut rig, 110.0);
+    assert!(first <= 10, "no more than an even part of the burst: {first}");
+    rig.run(300.0).take(900, 1, 1, 1.0, Some(1)).seen();
+    assert_eq!(rig.brain.accounts().0, 1, "the limited volume is let go, the one just used is there");
+    let again = flood(&mut rig, 301.0);
+    assert!(again <= 10, "no more than an even part of the burst: {again}");
+    // One that is used again before its bucket is full must be the same account.
+    let early = flood(&mut rig, 302.1);
+    assert!(early <= 6, "what its rate gave since, and no burst: {early}");
+}
+
+#[test]
+fn volumes_and_keys_that_come_and_go_do_not_pile_up() {
+    let mut rig = one_node(settings());
+    for id in 0..5000u64 {
+        let now = 100.0 + id as f64;
+        let (extent, volume) = (ExtentId(format!("k{id}").into()), VolumeId(format!("v{id}").into()));
+        let (plan, block, log) = (Some(PlanId(0)), Some(BlockId(1)), &mut rig.log);
+        log.now = now;
+        let id = TransactionId(id);
+        rig.brain.taken(now, id, 2.0, plan, BandId(2), Some(extent), 2.0, 1.0, volume, block, log);
+        rig.run(now + 0.9).back(id.0, "a", Settled).seen();
+    }
+    let (volumes, keys) = rig.brain.accounts();
+    assert!(volumes < 200 && keys < 200, "{volumes} volumes, {keys} keys");
+}
