--- a/crates/initiator/src/core.rs
+++ b/crates/initiator/src/core.rs
@@ -76,6 +76,8 @@
     );
     fn lapsed(&mut self, now: f64, id: TransactionId, out: &mut Actions);
     fn rang(&mut self, now: f64, tag: u64, out: &mut Actions);
+    /// Volumes and ordered keys held.
+    fn accounts(&self) -> (usize, usize);
 }
 
 /// Makes what decides: clock time, seed, deployment, and where its first actions go.
@@ -109,6 +111,9 @@
     fn rang(&mut self, now: f64, tag: u64, out: &mut Actions) {
         Brain::rang(self, now, tag, out);
     }
+    fn accounts(&self) -> (usize, usize) {
+        Brain::accounts(self)
+    }
 }
 
 /// A plain gateway: sends at once to whatever node was last heard of for the data, and tries everything again
@@ -187,4 +192,7 @@
     fn rang(&mut self, _now: f64, _tag: u64, out: &mut Actions) {
         out.subscribe(true);
     }
+    fn accounts(&self) -> (usize, usize) {
+        (0, 0)
+    }
 }
--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -66,6 +66,9 @@
     pub core_seconds: f64,
     pub open: usize,
     pub connections: usize,
+    /// Volumes and ordered keys that the core holds.
+    pub volumes: usize,
+    pub keys: usize,
 }
 
 /// What happens to the core, in order.
@@ -445,7 +448,13 @@
             let idle = matches!(node.link, Link::Closed) && node.waiting.is_empty();
             !(idle && node.shut_since.is_none_or(|since| now - since > 60.0))
         });
+    }
+
+    /// The counts, with what is open now.
+    pub fn counted(&mut self) -> Counts {
         (self.counts.open, self.counts.connections) = (self.open.len(), self.fronts.len() + self.backs.len());
+        (self.counts.volumes, self.counts.keys) = self.core.accounts();
+        self.counts.clone()
     }
 
     // The register.
--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -118,7 +118,7 @@
     executor.spawn(register::follow(Rc::downgrade(&instance))).detach();
     executor.spawn(report(Rc::downgrade(&instance))).detach();
     async_io::block_on(executor.run(stop));
-    let counts = instance.borrow().counts.clone();
+    let counts = instance.borrow_mut().counted();
     Ok(counts)
 }
 
@@ -126,7 +126,7 @@
     loop {
         Timer::after(Duration::from_secs(10)).await;
         let Some(instance) = instance.upgrade() else { return };
-        let counts = serde_json::to_string(&instance.borrow().counts).unwrap_or_default();
+        let counts = serde_json::to_string(&instance.borrow_mut().counted()).unwrap_or_default();
         info!(counts, "counts");
     }
 }
--- /dev/null
+++ b/crates/programs/tests/helper/mod.rs
@@ -0,0 +1,341 @@
+//! One gateway as a process, scripted peers on both sides of it, everything on loopback.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::{Duration, Instant};
+
+use quaypath_initiator::list::EntryCondition;
+use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, ANY_CONTROLLER};
+use quaypath_nvme::controller::{Controller, Event as Asked};
+use quaypath_nvme::host::{Event, Host, State};
+use quaypath_nvme::{status, QUEUE_SIZE};
+use quaypath_record::{Clock, Writer};
+use quaypath_settings::Mode;
+use quaypath_standins::register::Register;
+use rustix::process::{kill_process, Pid, Signal};
+
+pub const READ: u8 = 1;
+pub const BUY: u8 = 2;
+/// Bounds every wait for a condition; far above what any takes.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Two bands, one limitless plan, volumes 1 to 8 on one node each, figures by the test's needs.
+pub struct Shape {
+    pub nodes: u32,
+    pub connections: u32,
+    pub half_pdu: f64,
+    pub grace: f64,
+    pub outer: f64,
+    pub volumes: u32,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Shape { nodes: 1, connections: 64, half_pdu: 5.0, grace: 1.0, outer: 2.0, volumes: 8 }
+    }
+}
+
+pub fn folder() -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("quaypath-test-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+impl Shape {
+    fn text(&self) -> String {
+        let Shape { nodes, connections, half_pdu, grace, outer, volumes } = self;
+        let band = |name: &str, repeat: &str, writes: bool| {
+            format!(
+                r#"<band name="{name}" due="1" outer="{outer}" benefit="1" repeat="{repeat}" writes="{writes}"/>"#
+            )
+        };
+        format!(
+            r#"<deployment name="test">
+<listen address="127.0.0.1:0" connections="{connections}" open="2048"/>
+<register address="127.0.0.1:1" mode="pushed"/>
+<connections connect="0.5" idle="30" half-pdu="{half_pdu}"/>
+<allow shots="3" cancel="true" copies="false" longest-return="0.5"/>
+<rules answer-slack="0.05" drain-grace="{grace}" start-capacity="0.2" cold-for="5" fall-multiple="2"
+ overload-for="1" young-units="8" key-quiet="0"/>
+<units mean="1" most="6" metering="0"/>
+<layout initiators="1" nodes="{nodes}" zones="1" extent-blocks="2048"/>
+{}{}
+<plan name="only" nominal="100" reservation="50" weight="1" factor="1"/>
+<volumes plan="only" first="1" count="{volumes}" initiators="1" nodes="1"/>
+</deployment>"#,
+            band("read", "repeatable", false),
+            band("buy", "once-only", true),
+        )
+    }
+}
+
+/// Node that holds a volume's one block.
+pub fn block_of(volume: u32, nodes: u32) -> i64 {
+    i64::from(volume) * 7 % i64::from(nodes)
+}
+
+pub struct Gateway {
+    child: Child,
+    lines: BufReader<ChildStdout>,
+    pub address: SocketAddr,
+    pub register: Register,
+    folder: PathBuf,
+}
+
+impl Gateway {
+    pub fn start(shape: &Shape) -> Gateway {
+        let folder = folder();
+        let settings = folder.join("deployment.xml");
+        std::fs::write(&settings, shape.text()).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let register = Register::start(Mode::Pushed, listener, Writer::memory(Clock::default())).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_quaypath-gateway"))
+            .arg("--settings")
+            .arg(&settings)
+            .args(["--listen", "127.0.0.1:0", "--register", &register.address.to_string(), "--seed", "1"])
+            .arg("--list")
+            .arg(folder.join("list"))
+            .arg("--until-stdin-closes")
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(std::fs::File::create(folder.join("log")).unwrap())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap());
+        let mut line = String::new();
+        lines.read_line(&mut line).unwrap();
+        let address = line.trim().strip_prefix("listening ").expect("the gateway listens").parse().unwrap();
+        Gateway { child, lines, address, register, folder }
+    }
+
+    pub fn list(&self, node: SocketAddr, block: i64, condition: EntryCondition) {
+        self.register.list(&node.to_string(), "hall-0", block, condition, None, 0.0);
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), signal).unwrap();
+    }
+
+    /// Stops it and gives its counts.
+    pub fn counts(mut self) -> serde_json::Value {
+        drop(self.child.stdin.take());
+        let mut line = String::new();
+        self.lines.read_line(&mut line).unwrap();
+        assert!(self.child.wait().unwrap().success());
+        serde_json::from_str(&line).unwrap()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// One queue of a client, read with a bound on the wait.
+pub struct Queue {
+    pub stream: TcpStream,
+    pub host: Host,
+    events: Vec<Event>,
+}
+
+impl Queue {
+    fn open(address: SocketAddr, number: u16, controller: u16) -> (Queue, u16) {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let host = Host::start(number, QUEUE_SIZE, controller, "nqn.test:gateway", "nqn.test:client:0");
+        let mut queue = Queue { stream, host, events: Vec::new() };
+        loop {
+            let out = std::mem::take(&mut queue.host.out);
+            queue.stream.write_all(&out).unwrap();
+            assert!(queue.pull(), "closed while connecting");
+            if let Some(Event::Ready { controller }) = queue.events.pop() {
+                assert_eq!(queue.host.state(), State::Ready);
+                return (queue, controller);
+            }
+        }
+    }
+
+    /// Reads once; false where the gateway closed.
+    pub fn pull(&mut self) -> bool {
+        let mut buffer = [0; 65536];
+        match self.stream.read(&mut buffer) {
+            Ok(0) => false,
+            Ok(count) => {
+                self.host.feed(&buffer[..count], &mut self.events).unwrap();
+                let out = std::mem::take(&mut self.host.out);
+                self.stream.write_all(&out).unwrap();
+                true
+            }
+            Err(error) => panic!("no answer: {error}"),
+        }
+    }
+
+    pub fn ask(&mut self, sqe: Sqe, data: Vec<u8>, expected: usize) -> u16 {
+        let (cid, bytes) = self.host.submit(sqe, data, expected).unwrap();
+        self.stream.write_all(&bytes).unwrap();
+        cid
+    }
+
+    /// The next answer: command and status.
+    pub fn answer(&mut self) -> (u16, u16) {
+        loop {
+            let at = self.events.iter().position(|event| matches!(event, Event::Done { .. }));
+            if let Some(Event::Done { cid, cqe, .. }) = at.map(|at| self.events.remove(at)) {
+                return (cid, cqe.status);
+            }
+            assert!(self.pull(), "closed before the answer");
+        }
+    }
+
+    /// No answer is there, and none comes within a moment.
+    pub fn is_silent(&mut self) -> bool {
+        self.stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+        let mut buffer = [0; 64];
+        let read = self.stream.read(&mut buffer);
+        self.stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        self.events.is_empty() && read.is_err()
+    }
+}
+
+pub struct Client {
+    pub admin: Queue,
+    pub io: Queue,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let (admin, controller) = Queue::open(address, 0, ANY_CONTROLLER);
+        let (io, _) = Queue::open(address, 1, controller);
+        Client { admin, io }
+    }
+
+    pub fn sqe(band: u8, volume: u32, mark: u64, blocks: u32) -> Sqe {
+        let opcode = if band == BUY { opcode::WRITE } else { opcode::READ };
+        let marks = Marks { band, units: 1, mark, key: 1, ..Marks::default() };
+        marks.put(Sqe::transfer(opcode, volume, 0, blocks))
+    }
+
+    pub fn ask(&mut self, band: u8, volume: u32, mark: u64, blocks: u32) -> u16 {
+        let sqe = Self::sqe(band, volume, mark, blocks);
+        let length = sqe.length();
+        if band == BUY {
+            self.io.ask(sqe, vec![1; length], 0)
+        } else {
+            self.io.ask(sqe, Vec::new(), length)
+        }
+    }
+}
+
+/// What a scripted target does with a command.
+pub enum Do {
+    Answer(u16),
+    /// Keeps quiet; the test answers through `later`, or never.
+    Hold,
+    /// Closes the connection without a word.
+    Close,
+    /// Writes these bytes as they are.
+    Raw(Vec<u8>),
+}
+
+/// A scripted target: every command's mark and shot are told, then `script` says what to do.
+pub struct Peer {
+    pub address: SocketAddr,
+    pub arrived: Receiver<(u64, u8)>,
+    /// Answers what was held: mark and status.
+    pub later: Sender<(u64, u16)>,
+}
+
+pub fn peer(script: impl Fn(&Sqe, &Marks) -> Do + Send + Sync + 'static) -> Peer {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, arrived) = channel();
+    let (later, answers) = channel::<(u64, u16)>();
+    let answers = std::sync::Arc::new(std::sync::Mutex::new(answers));
+    let script = std::sync::Arc::new(script);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (tell, script, answers) = (tell.clone(), script.clone(), answers.clone());
+            std::thread::spawn(move || serve(stream.unwrap(), &tell, &*script, &answers));
+        }
+    });
+    Peer { address, arrived, later }
+}
+
+fn serve(
+    mut stream: TcpStream, tell: &Sender<(u64, u8)>, script: &(dyn Fn(&Sqe, &Marks) -> Do + Send + Sync),
+    answers: &std::sync::Mutex<Receiver<(u64, u16)>>,
+) {
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+    let (mut machine, mut buffer) = (Controller::default(), [0; 65536]);
+    let mut held: Vec<(u64, u16)> = Vec::new();
+    loop {
+        let count = match stream.read(&mut buffer) {
+            Ok(0) => return,
+            Ok(count) => count,
+            Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock) => 0,
+            Err(_) => return,
+        };
+        let mut events = Vec::new();
+        if machine.feed(&buffer[..count], &mut events).is_err() {
+            return;
+        }
+        for event in events {
+            match event {
+                Asked::Connect { .. } => machine.accept(1),
+                Asked::Command { sqe, .. } if machine.queue() == 0 => {
+                    machine.respond(Cqe { cid: sqe.cid, ..Cqe::default() }, &[]);
+                }
+                Asked::Command { sqe, .. } => {
+                    let marks = Marks::of(&sqe);
+                    let _ = tell.send((marks.mark, marks.shot));
+                    match script(&sqe, &marks) {
+                        Do::Answer(status) => respond(&mut machine, &sqe, status),
+                        Do::Hold => held.push((marks.mark, sqe.cid)),
+                        Do::Close => return,
+                        Do::Raw(bytes) => {
+                            let _ = stream.write_all(&bytes);
+                        }
+                    }
+                }
+                Asked::Terminated { .. } => return,
+            }
+        }
+        if machine.queue() != 0 && !held.is_empty() {
+            while let Ok((mark, status)) = answers.lock().unwrap().try_recv() {
+                if let Some(at) = held.iter().position(|(known, _)| *known == mark) {
+                    let sqe = *machine.command(held.remove(at).1).unwrap();
+                    respond(&mut machine, &sqe, status);
+                }
+            }
+        }
+        if stream.write_all(&std::mem::take(&mut machine.out)).is_err() {
+            return;
+        }
+    }
+}
+
+fn respond(machine: &mut Controller, sqe: &Sqe, status: u16) {
+    let length = if sqe.opcode == opcode::READ && status == status::SUCCESS { sqe.length() } else { 0 };
+    machine.respond(Cqe { cid: sqe.cid, status, ..Cqe::default() }, &vec![7; length]);
+}
+
+/// Waits for a condition.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "waited too long until {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
