--- a/crates/day/src/plan.rs
+++ b/crates/day/src/plan.rs
@@ -54,7 +54,12 @@
         });
         let band = band.unwrap_or(shares.len() - 1);
         let initiators = volume.initiators.min(gateways);
-        let leads = (at / LEADS_FOR) as u32;
+        let changes = day.traffic.lead_change.iter().filter(|change| {
+            // A volume's draw, the same at every look.
+            let draw = f64::from(id.wrapping_mul(2_654_435_761) >> 8) / f64::from(1 << 24);
+            change.at <= at && draw < change.part
+        });
+        let leads = (at / LEADS_FOR) as u32 + changes.count() as u32;
         let nth = if chance.random::<f64>() < LEAD { leads } else { chance.random_range(0..initiators) };
         let extent = chance.random_range(0..EXTENTS * volume.blocks.len() as u64);
         let due = deployment.core.bands[band].due;
@@ -72,6 +77,15 @@
             initiators,
             budget: deployment.outer[band],
             leaves,
+            retries: day
+                .traffic
+                .abuse
+                .iter()
+                .find(|abuse| {
+                    let plan = &deployment.plan_names[volume.plan];
+                    (abuse.at..abuse.at + abuse.lasts).contains(&at) && abuse.plan == *plan
+                })
+                .map(|abuse| (abuse.retries, abuse.wait)),
         });
     }
 }
@@ -143,6 +157,16 @@
                     acts.push((ends, Act::Node { kind, block, size, begins: false }));
                 }
             }
+            FaultKind::Neighbour => {
+                for block in pick(day.fleet.nodes, fault.part, fault.node) {
+                    let (block, mut from) = (i64::from(block), at);
+                    while from < ends {
+                        acts.push((from, Act::Node { kind, block, size, begins: true }));
+                        acts.push(((from + 2.0).min(ends), Act::Node { kind, block, size, begins: false }));
+                        from += 4.0;
+                    }
+                }
+            }
             FaultKind::KillInitiators => {
                 let picked = pick(day.fleet.gateways, fault.part, fault.node);
                 // Spread over the span, so that some are back before others go.
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -51,6 +51,12 @@
 /// What the gateways said of themselves at the end; for the table only, never for the verdict.
 pub type Books = BTreeMap<u32, serde_json::Value>;
 
+/// Memory held by a gateway's process, by second of the day: resident KiB.
+pub type Memory = BTreeMap<u32, Vec<(f64, u64)>>;
+
+/// How often the gateways' memory is looked at, seconds.
+const LOOK: f64 = 5.0;
+
 struct Gateway {
     number: u32,
     address: SocketAddr,
@@ -104,6 +110,14 @@
         }
     }
 
+    /// Resident memory, KiB.
+    fn memory(&self) -> Option<u64> {
+        let (child, ..) = self.process.as_ref()?;
+        let text = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     fn kill(&mut self, record: &Writer) {
         if let Some((mut child, ..)) = self.process.take() {
             record.put(Event::Killed { t: record.clock.now(), gateway: self.number });
@@ -149,6 +163,8 @@
     targets: BTreeMap<i64, Target>,
     gateways: BTreeMap<u32, Gateway>,
     started: u64,
+    memory: Memory,
+    looked_at: f64,
 }
 
 impl Stage<'_> {
@@ -220,6 +236,10 @@
                     FaultKind::Resets => faults.resets = if begins { size } else { 0.0 },
                     FaultKind::Refused => faults.refuse = begins,
                     FaultKind::Partition => faults.partition = begins,
+                    FaultKind::Neighbour => {
+                        faults.slow = if begins { 1.0 / (1.0 - size.min(0.95)) } else { 1.0 }
+                    }
+                    FaultKind::HeavyTail => faults.heavy = if begins { size } else { 0.0 },
                     FaultKind::LateReports => faults.late = if begins { size } else { 0.0 },
                     _ => {}
                 });
@@ -263,6 +283,24 @@
         Ok(())
     }
 
+    /// Sleeps until `at`, looking at memory meanwhile; `start` is the day's second 0.
+    fn wait_until(&mut self, start: f64, at: f64) {
+        loop {
+            let now = self.record.clock.now();
+            if now - self.looked_at >= LOOK {
+                self.looked_at = now;
+                for (number, gateway) in &self.gateways {
+                    let held = gateway.memory().map(|held| (now - start, held));
+                    self.memory.entry(*number).or_default().extend(held);
+                }
+            }
+            if now >= at {
+                return;
+            }
+            std::thread::sleep(Duration::from_secs_f64((at - now).min(1.0)));
+        }
+    }
+
     fn unlist(&self, block: i64, condition: EntryCondition, after: f64) {
         if let Some(target) = self.targets.get(&block) {
             let zone = zone(block, self.deployment);
@@ -288,8 +326,9 @@
     folder.join("record.jsonl")
 }
 
-/// Runs the day; gives what the gateways counted and how the clients fared. The record is in the folder.
-pub fn run(day: &Day, deployment: &Deployment, options: &Options) -> Result<(Books, Tally), Error> {
+/// Runs the day; gives what the gateways counted, the memory they held and how the clients fared. The record is
+/// in the folder.
+pub fn run(day: &Day, deployment: &Deployment, options: &Options) -> Result<(Books, Memory, Tally), Error> {
     std::fs::create_dir_all(&options.folder).map_err(io(options.folder.display().to_string()))?;
     let record = Writer::file(&record_path(&options.folder), Clock::default())?;
     let listener = target::listener().map_err(io("the register's port"))?;
@@ -307,6 +346,8 @@
         targets: BTreeMap::new(),
         gateways: BTreeMap::new(),
         started: 0,
+        memory: Memory::new(),
+        looked_at: f64::NEG_INFINITY,
     };
     for block in 0..i64::from(day.fleet.nodes) {
         stage.target(block, false)?;
@@ -343,10 +384,10 @@
         record.clone(),
     );
     for (at, act) in script(day) {
-        let wait = start + at - record.clock.now();
-        std::thread::sleep(Duration::from_secs_f64(wait.max(0.0)));
+        stage.wait_until(start, start + at);
         stage.act(&act)?;
     }
+    stage.wait_until(start, start + day.lasts);
     let longest = deployment.outer.iter().copied().fold(0.0, f64::max);
     let latest = start + day.lasts + 2.0 * longest + 3.0;
     while !clients.tally.lock().unwrap().done && record.clock.now() < latest {
@@ -362,7 +403,8 @@
     let books = stage.gateways.iter_mut().filter_map(|(number, gateway)| Some((*number, gateway.finish()?)));
     let books = books.collect();
     record.flush()?;
+    let memory = std::mem::take(&mut stage.memory);
     drop(stage);
     record.flush()?;
-    Ok((books, tally))
+    Ok((books, memory, tally))
 }
--- a/crates/programs/src/bin/day.rs
+++ b/crates/programs/src/bin/day.rs
@@ -64,21 +64,22 @@
         folder: folder.clone(),
         careless: arguments.careless,
     };
-    let (books, tally) = run::run(&day, &deployment, &options).map_err(|error| error.to_string())?;
+    let (books, memory, tally) = run::run(&day, &deployment, &options).map_err(|error| error.to_string())?;
     let report = report::of_files(&deployment, day.transit, &[run::record_path(&folder)])
         .map_err(|error| error.to_string())?;
     match arguments.format {
         Form::Table => {
             println!("{}", report.table());
             println!("{} first tries found no gateway", tally.unreachable);
+            println!("{}", held(&memory, day.lasts));
             if books.len() < day.fleet.gateways as usize {
                 println!("{} gateways gave no counts at the end", day.fleet.gateways as usize - books.len());
             }
             println!("{}", report.verdict());
         }
         Form::Json => {
-            let whole =
-                serde_json::json!({ "report": report, "books": books, "unreachable": tally.unreachable });
+            let whole = serde_json::json!({ "report": report, "books": books, "memory": memory,
+                "unreachable": tally.unreachable });
             println!("{whole}");
         }
     }
@@ -90,6 +91,20 @@
     Ok(report.kept())
 }
 
+/// Median and highest memory of a gateway at half of the day and at its end.
+fn held(memory: &run::Memory, lasts: f64) -> String {
+    let at = |from: f64, to: f64| {
+        let samples = memory.values().filter_map(|samples| {
+            samples.iter().rev().find(|(at, _)| (from..=to).contains(at)).map(|(_, held)| *held)
+        });
+        let mut all: Vec<u64> = samples.collect();
+        all.sort_unstable();
+        let median = all.get(all.len() / 2).copied().unwrap_or(0);
+        format!("{median} KiB median, {} KiB most", all.last().copied().unwrap_or(0))
+    };
+    format!("gateway memory: at half {}; at the end {}", at(0.0, lasts / 2.0), at(lasts / 2.0, f64::INFINITY))
+}
+
 fn show(path: &std::path::Path) -> Result<bool, String> {
     let (day, deployment) = quaypath_settings::day(path).map_err(|error| error.to_string())?;
     let asks = plan::traffic(&day, &deployment);
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -35,6 +35,10 @@
     RegisterFails,
     /// The register's news comes `size` seconds later.
     RegisterLate,
+    /// A `size` part of transactions takes ten times its work.
+    HeavyTail,
+    /// Something else takes a `size` part of the machine, two seconds on and two off.
+    Neighbour,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -104,6 +108,30 @@
     pub after: f64,
 }
 
+/// For a part of the volumes the leading initiator changes at one stroke.
+#[derive(Clone, Debug, Deserialize)]
+pub struct LeadChange {
+    #[serde(rename = "@at")]
+    pub at: f64,
+    #[serde(rename = "@part")]
+    pub part: f64,
+}
+
+/// Callers of one plan try again this often, after this wait, whatever they are advised.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Abuse {
+    #[serde(rename = "@at")]
+    pub at: f64,
+    #[serde(rename = "@lasts")]
+    pub lasts: f64,
+    #[serde(rename = "@plan")]
+    pub plan: String,
+    #[serde(rename = "@retries")]
+    pub retries: u32,
+    #[serde(rename = "@wait")]
+    pub wait: f64,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Traffic {
     /// Transactions a second, before surges.
@@ -117,6 +145,10 @@
     pub surge: Vec<Surge>,
     #[serde(default)]
     pub leave: Vec<Leave>,
+    #[serde(rename = "lead-change", default)]
+    pub lead_change: Vec<LeadChange>,
+    #[serde(default)]
+    pub abuse: Vec<Abuse>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -204,6 +236,11 @@
                 return bad("traffic, surge", format!("volume {volume}"), "a volume of the deployment");
             }
         }
+        if let Some(abuse) =
+            self.traffic.abuse.iter().find(|abuse| !deployment.plan_names.contains(&abuse.plan))
+        {
+            return bad("traffic, abuse", format!("plan '{}'", abuse.plan), "a plan of the deployment");
+        }
         if self.fleet.nodes != deployment.nodes {
             let rule = format!("the deployment's layout has {}", deployment.nodes);
             return bad("fleet, nodes", self.fleet.nodes, rule);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,7 +8,7 @@
 
 use thiserror::Error;
 
-pub use day::{Day, Fault, FaultKind, Fleet, Leave, Surge, Traffic};
+pub use day::{Abuse, Day, Fault, FaultKind, Fleet, LeadChange, Leave, Surge, Traffic};
 pub use deployment::{Connections, Deployment, Listen, Mode, Register, Volume};
 
 /// The schema, as shipped.
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -40,6 +40,8 @@
     pub budget: f64,
     /// Leaves after this many seconds.
     pub leaves: Option<f64>,
+    /// Tries and waits of its own, whatever it is advised.
+    pub retries: Option<(u32, f64)>,
 }
 
 #[derive(Clone, Debug)]
@@ -286,7 +288,9 @@
     }
 
     fn try_again(&mut self, operation: u64, at: usize, tries: u32, wait: f64) {
-        if tries < self.options.retries {
+        let own = self.options.plan[at].retries;
+        let wait = own.map_or(wait, |(_, wait)| wait);
+        if tries < own.map_or(self.options.retries, |(retries, _)| retries).min(255) {
             let wait = wait * self.chance.random_range(0.8..1.2);
             self.timers.set(self.record.clock.now() + wait, Due::Again(operation, at, tries + 1));
             self.wake.tell();
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -43,6 +43,8 @@
     pub partition: bool,
     /// Does not read its sockets: what is sent to it stays in the kernels.
     pub deaf: bool,
+    /// Share of transactions that take ten times their work.
+    pub heavy: f64,
     /// Figures in answers are this many seconds old.
     pub late: f64,
 }
@@ -58,6 +60,7 @@
             refuse: false,
             partition: false,
             deaf: false,
+            heavy: 0.0,
             late: 0.0,
         }
     }
@@ -177,7 +180,6 @@
     gateway: u32,
     /// Jobs by command id.
     jobs: HashMap<u16, u64>,
-    blocked: bool,
 }
 
 struct State {
@@ -197,7 +199,6 @@
     pause_at: f64,
     reset_at: f64,
     wake: Rc<Notify>,
-    executor: Weak<LocalExecutor<'static>>,
 }
 
 type Shared = Rc<RefCell<State>>;
@@ -225,7 +226,6 @@
         pause_at: now,
         reset_at: now,
         wake: Rc::default(),
-        executor: Rc::downgrade(executor),
     };
     let state = Rc::new(RefCell::new(state));
     executor.spawn(accept(state.clone(), Rc::downgrade(executor), listener)).detach();
@@ -254,7 +254,6 @@
             association: 0,
             gateway: 0,
             jobs: HashMap::new(),
-            blocked: false,
         };
         this.connections.insert(number, connection);
         drop(this);
@@ -373,11 +372,12 @@
             return self.respond(number, cqe, 0);
         }
         let noise = LogNormal::new(0.0, self.options.spread.max(0.0)).expect("a finite spread");
+        let heavy = faults.heavy > 0.0 && self.chance.random::<f64>() < faults.heavy;
         let job = Job {
             units: f64::from(units),
             extent: u64::from(sqe.nsid) << 32 | u64::from(marks.key),
             writes: sqe.opcode == opcode::WRITE,
-            noise: noise.sample(&mut self.chance),
+            noise: noise.sample(&mut self.chance) * if heavy { 10.0 } else { 1.0 },
             what: Shot { connection: number, sqe, marks, gateway },
         };
         match self.node.take(now, job) {
@@ -532,7 +532,7 @@
         if connection.output.waiting() > MOST_OUTPUT {
             return self.close(number);
         }
-        if partition || connection.blocked {
+        if partition {
             return;
         }
         match connection.output.flush(connection.stream.get_ref()) {
@@ -566,7 +566,6 @@
             .map(|(at, _)| *at)
             .collect();
         others.into_iter().for_each(|other| self.close(other));
-        let _ = &self.executor;
     }
 }
 
