--- a/crates/day/src/plan.rs
+++ b/crates/day/src/plan.rs
@@ -8,12 +8,12 @@
 use rand_distr::{Distribution, Exp, Geometric};
 
 /// Extents of a volume that the clients use, for each node of it.
-const EXTENTS: u64 = 16;
+const EXTENTS: u64 = 4;
 /// Share of a volume's transactions that its leading gateway gets, and how long one leads, seconds.
 const LEAD: f64 = 0.5;
 const LEADS_FOR: f64 = 10.0;
 
-fn surges<'a>(day: &'a Day, at: f64) -> impl Iterator<Item = &'a Surge> {
+fn surges(day: &Day, at: f64) -> impl Iterator<Item = &Surge> {
     day.traffic.surge.iter().filter(move |surge| (surge.at..surge.at + surge.lasts).contains(&at))
 }
 
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// What one event adds to every sum that it belongs to.
+type Count = Box<dyn Fn(&mut Sum)>;
+
 /// Judges events in order of time, and counts them.
 pub fn report(deployment: &Deployment, transit: f64, events: &[Event]) -> Report {
     let mut book = deployment.book.clone();
@@ -69,7 +72,7 @@
     let mut asked: HashMap<u64, (f64, usize, usize)> = HashMap::new();
     let mut shots: HashMap<u64, u64> = HashMap::new();
     for event in events {
-        let (mark, act): (u64, Box<dyn Fn(&mut Sum)>) = match event {
+        let (mark, act): (u64, Count) = match event {
             Event::Ask { t, mark, volume, band, .. } => {
                 let plan = deployment.volumes.get(volume).map_or(0, |volume| volume.plan);
                 asked.insert(*mark, (*t, *band, plan));
--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -369,7 +369,7 @@
     }
 
     pub fn until(&self, at: f64) -> std::time::Duration {
-        std::time::Duration::from_secs_f64((at - self.clock.now()).max(0.0).min(3600.0))
+        std::time::Duration::from_secs_f64((at - self.clock.now()).clamp(0.0, 3600.0))
     }
 
     pub fn ring(&mut self) {
--- a/crates/programs/src/bin/register.rs
+++ b/crates/programs/src/bin/register.rs
@@ -41,12 +41,19 @@
     let words: Vec<&str> = line.split_whitespace().collect();
     let condition = match words.first().copied() {
         None => return Ok(()),
-        Some("fails") => return Ok(register.fails(true)),
-        Some("works") => return Ok(register.fails(false)),
+        Some("fails") => {
+            register.fails(true);
+            return Ok(());
+        }
+        Some("works") => {
+            register.fails(false);
+            return Ok(());
+        }
         Some("late") => {
             let seconds =
                 words.get(1).and_then(|word| word.parse().ok()).filter(|late| (0.0..3600.0).contains(late));
-            return Ok(register.late(seconds.ok_or("late: needs seconds, 0 to 3600")?));
+            register.late(seconds.ok_or("late: needs seconds, 0 to 3600")?);
+            return Ok(());
         }
         Some("ready" | "cold") => EntryCondition::Ready,
         Some("draining") => EntryCondition::Draining,
--- a/crates/programs/tests/hard_cases.rs
+++ b/crates/programs/tests/hard_cases.rs
@@ -248,7 +248,9 @@
     settled(&mut client);
     let mut leaver = Client::connect(gateway.address);
     let held: Vec<u64> = (1..=5).map(|at| at * 0x100).collect();
-    held.iter().for_each(|mark| drop(client.ask(BUY, 1, *mark, 8)));
+    for mark in &held {
+        client.ask(BUY, 1, *mark, 8);
+    }
     leaver.ask(BUY, 2, 0x600, 8);
     let mut seen = Vec::new();
     until("a first shot is at the node", || {
@@ -257,7 +259,9 @@
     });
     gateway.signal(Signal::STOP);
     held.iter().for_each(|mark| target.later.send((*mark, 0)).unwrap());
-    (0..20).for_each(|at| drop(client.ask(BUY, 3, 0x1000 + 0x100 * at, 8)));
+    for at in 0..20 {
+        client.ask(BUY, 3, 0x1000 + 0x100 * at, 8);
+    }
     drop(leaver);
     std::thread::sleep(Duration::from_secs(2));
     gateway.signal(Signal::CONT);
