Stuck peers are told from busy ones; what a client does not read is discarded

Need: a connection counted as stuck when it was never seen between two PDUs, and a closed client that does not read kept its data in the kernel. Change: waits start anew with every whole PDU and every write that moves; reading and writing are watched apart; a stuck client's connection is reset. quaypath-target takes faults by lines.

--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -118,6 +118,31 @@
     shot: Option<Shot>,
 }
 
+/// Since when a peer makes no progress with a PDU that it began, and does not read what it is sent. Progress
+/// starts the wait anew: a busy connection may well never be seen between two PDUs.
+#[derive(Default)]
+struct Stuck {
+    unfinished: Option<f64>,
+    unmoved: Option<f64>,
+}
+
+impl Stuck {
+    fn read(&mut self, now: f64, progress: bool, unfinished: bool) {
+        let since = self.unfinished.filter(|_| !progress).or(Some(now));
+        self.unfinished = since.filter(|_| unfinished);
+    }
+
+    fn written(&mut self, now: f64, progress: bool, waiting: bool) {
+        let since = self.unmoved.filter(|_| !progress).or(Some(now));
+        self.unmoved = since.filter(|_| waiting);
+    }
+
+    fn longer_than(&self, now: f64, wait: f64) -> bool {
+        let late = |since: Option<f64>| since.is_some_and(|since| now - since > wait);
+        late(self.unfinished) || late(self.unmoved)
+    }
+}
+
 struct Front {
     stream: Rc<Async<TcpStream>>,
     machine: Controller,
@@ -126,8 +151,7 @@
     open: HashMap<u16, u64>,
     /// Read data that its open commands will bring.
     asked: usize,
-    /// Since when a PDU is unfinished, or output does not move.
-    stuck_since: Option<f64>,
+    stuck: Stuck,
     blocked: bool,
 }
 
@@ -148,7 +172,7 @@
     /// Commands whose bytes are in `current`: where each starts and ends there, transaction and shot.
     leaving: VecDeque<(usize, usize, u64, u32)>,
     shots: HashMap<u16, (u64, u32)>,
-    stuck_since: Option<f64>,
+    stuck: Stuck,
     used_at: f64,
     blocked: bool,
     /// No more commands: its queue is full of ids whose late answers never came.
@@ -412,15 +436,18 @@
 
     fn sweep(&mut self) {
         let (now, waits) = (self.now, self.deployment.connections.clone());
-        let stuck = |since: &Option<f64>| since.is_some_and(|since| now - since > waits.half_pdu);
+        let stuck = |stuck: &Stuck| stuck.longer_than(now, waits.half_pdu);
         let fronts: Vec<u64> =
-            self.fronts.iter().filter(|(_, front)| stuck(&front.stuck_since)).map(|(at, _)| *at).collect();
+            self.fronts.iter().filter(|(_, front)| stuck(&front.stuck)).map(|(at, _)| *at).collect();
         for connection in fronts {
             warn!(connection, "closed: the client left a PDU unfinished or does not read");
+            // What a client does not read would stay in the kernel for as long as it stays.
+            let stream = self.fronts[&connection].stream.clone();
+            let _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(std::time::Duration::ZERO));
             self.front_closed(connection);
         }
         let backs: Vec<u64> =
-            self.backs.iter().filter(|(_, back)| stuck(&back.stuck_since)).map(|(at, _)| *at).collect();
+            self.backs.iter().filter(|(_, back)| stuck(&back.stuck)).map(|(at, _)| *at).collect();
         for connection in backs {
             warn!(connection, "closed: the node left a PDU unfinished or does not read");
             self.back_closed(connection);
@@ -500,13 +527,13 @@
             let listed = |node: &NodeId| known.iter().any(|(listed, ..)| listed == node);
             shut.extend(self.nodes.keys().filter(|node| !listed(node)).cloned());
         }
+        let grace = self.grace();
         for name in shut {
             let now = self.now;
             let Some(node) = self.nodes.get_mut(&name).filter(|node| node.shut_since.is_none()) else {
                 continue;
             };
             node.shut_since = Some(now);
-            let grace = (self.deployment.book.drain_grace * 0.9 - 0.01).max(0.0);
             self.timers.set(now + grace, Timer::Grace(name.clone()));
             let waiting: Vec<(u64, u32)> = node.waiting.drain(..).collect();
             let queued = self.backs.values().filter(|back| back.node == name);
@@ -518,8 +545,15 @@
         }
     }
 
+    /// When what the kernel holds for a draining node is discarded: early enough for the reset to take its time.
+    fn grace(&self) -> f64 {
+        (self.deployment.book.drain_grace * 0.9 - 0.01).max(0.0)
+    }
+
     fn grace_over(&mut self, name: &NodeId) {
-        if self.nodes.get(name).is_none_or(|node| node.shut_since.is_none()) {
+        // Listed ready again meanwhile, or shut anew: then a later timer is the one.
+        let since = self.nodes.get(name).and_then(|node| node.shut_since);
+        if since.is_none_or(|since| self.now - since < self.grace() - 1e-6) {
             return;
         }
         let held = |back: &Back| {
@@ -562,7 +596,7 @@
             association: 0,
             open: HashMap::new(),
             asked: 0,
-            stuck_since: Some(self.now),
+            stuck: Stuck { unfinished: Some(self.now), unmoved: None },
             blocked: false,
         };
         self.fronts.insert(connection, front);
@@ -573,9 +607,9 @@
     pub fn front_read(&mut self, connection: u64, bytes: &[u8]) -> bool {
         let Some(front) = self.fronts.get_mut(&connection) else { return false };
         let mut events = Vec::new();
+        let before = front.machine.whole();
         let fed = front.machine.feed(bytes, &mut events);
-        let stays = front.machine.unfinished() || front.sent < front.machine.out.len();
-        front.stuck_since = if stays { front.stuck_since.or(Some(self.now)) } else { None };
+        let progress = front.machine.whole() > before;
         self.dirty.push(connection);
         let mut good = fed.is_ok();
         if let Err(why) = fed {
@@ -593,6 +627,9 @@
                 }
             }
         }
+        if let Some(front) = self.fronts.get_mut(&connection) {
+            front.stuck.read(self.now, progress, front.machine.unfinished());
+        }
         if !good {
             // The term request still goes out.
             self.finish_turn();
@@ -873,7 +910,7 @@
                 sent: 0,
                 leaving: VecDeque::new(),
                 shots: HashMap::new(),
-                stuck_since: None,
+                stuck: Stuck::default(),
                 used_at: self.now,
                 blocked: false,
                 retired: false,
@@ -902,9 +939,9 @@
     pub fn back_read(&mut self, connection: u64, bytes: &[u8]) -> bool {
         let Some(back) = self.backs.get_mut(&connection) else { return false };
         let mut events = Vec::new();
+        let before = back.machine.whole();
         let fed = back.machine.feed(bytes, &mut events);
-        let stays = back.machine.pending() > 0 || back.sent < back.current.len();
-        back.stuck_since = if stays { back.stuck_since.or(Some(self.now)) } else { None };
+        back.stuck.read(self.now, back.machine.whole() > before, back.machine.pending() > 0);
         if !back.machine.out.is_empty() {
             self.dirty.push(connection);
         }
@@ -986,15 +1023,12 @@
     /// Writes what a connection has to write, as far as the kernel takes it.
     pub fn flush(&mut self, connection: u64) {
         if let Some(front) = self.fronts.get_mut(&connection) {
+            let before = front.sent;
             let written = write_out(front.stream.get_ref(), &mut front.machine.out, &mut front.sent);
             match written {
-                Ok(true) => {
-                    if !front.machine.unfinished() {
-                        front.stuck_since = None;
-                    }
-                }
+                Ok(true) => front.stuck.written(self.now, true, false),
                 Ok(false) => {
-                    front.stuck_since = front.stuck_since.or(Some(self.now));
+                    front.stuck.written(self.now, front.sent > before, true);
                     if !std::mem::replace(&mut front.blocked, true) {
                         self.drain_later(connection);
                     }
@@ -1002,11 +1036,17 @@
                 Err(_) => self.front_closed(connection),
             }
         } else if self.backs.contains_key(&connection) {
+            let (before, now) = (self.backs[&connection].sent, self.now);
             match self.flush_back(connection) {
-                Ok(true) => {}
+                Ok(true) => {
+                    self.backs
+                        .get_mut(&connection)
+                        .into_iter()
+                        .for_each(|back| back.stuck.written(now, true, false));
+                }
                 Ok(false) => {
                     let back = self.backs.get_mut(&connection).unwrap();
-                    back.stuck_since = back.stuck_since.or(Some(self.now));
+                    back.stuck.written(now, back.sent != before, true);
                     if !std::mem::replace(&mut back.blocked, true) {
                         self.drain_later(connection);
                     }
@@ -1031,9 +1071,9 @@
     /// The kernel takes bytes again.
     pub fn unblocked(&mut self, connection: u64) {
         if let Some(front) = self.fronts.get_mut(&connection) {
-            (front.blocked, front.stuck_since) = (false, None);
+            front.blocked = false;
         } else if let Some(back) = self.backs.get_mut(&connection) {
-            (back.blocked, back.stuck_since) = (false, None);
+            back.blocked = false;
         }
         self.flush(connection);
     }
--- a/crates/nvme/src/controller.rs
+++ b/crates/nvme/src/controller.rs
@@ -91,6 +91,11 @@
         self.decoder.pending() > 0 || !self.gathering.is_empty() || self.state != State::Ready
     }
 
+    /// Whole PDUs taken so far.
+    pub fn whole(&self) -> u64 {
+        self.decoder.whole()
+    }
+
     pub fn open(&self) -> usize {
         self.open.len()
     }
--- a/crates/nvme/src/host.rs
+++ b/crates/nvme/src/host.rs
@@ -102,6 +102,11 @@
         self.state == State::Ready && self.taken + 1 < self.slots.len()
     }
 
+    /// Whole PDUs taken so far.
+    pub fn whole(&self) -> u64 {
+        self.decoder.whole()
+    }
+
     /// Bytes of an unfinished PDU from the controller.
     pub fn pending(&self) -> usize {
         self.decoder.pending()
--- a/crates/nvme/src/pdu.rs
+++ b/crates/nvme/src/pdu.rs
@@ -191,6 +191,7 @@
 pub struct Decoder {
     bytes: Vec<u8>,
     read: usize,
+    whole: u64,
 }
 
 impl Decoder {
@@ -207,6 +208,11 @@
         self.bytes.len() - self.read
     }
 
+    /// Whole PDUs taken so far: a peer whose count stands still while bytes are pending makes no progress.
+    pub fn whole(&self) -> u64 {
+        self.whole
+    }
+
     /// The next whole PDU, or none until more bytes come.
     pub fn next_pdu(&mut self) -> Result<Option<Pdu>, Refused> {
         let bytes = &self.bytes[self.read..];
@@ -242,6 +248,7 @@
         }
         let pdu = Self::decode(kind, flags, &bytes[..plen], if plen > hlen { pdo } else { plen })?;
         self.read += plen;
+        self.whole += 1;
         Ok(Some(pdu))
     }
 
--- a/crates/programs/src/bin/target.rs
+++ b/crates/programs/src/bin/target.rs
@@ -13,7 +13,9 @@
 use quaypath_standins::serve::Running;
 use quaypath_standins::target::{spawn, BandRule, Faults, Fleet, Options};
 
-/// A stand-in for a storage node: takes time for its work, keeps no data.
+/// A stand-in for a storage node: takes time for its work, keeps no data. Each line of standard input sets a fault:
+/// `slow TIMES`, `pause SECONDS`, `errors PART`, `lost PART`, `heavy PART`, `resets A_SECOND`, `late SECONDS`, or
+/// `refuse|partition|deaf on|off`; `at SECONDS` before it waits until then, counted from the start.
 #[derive(Parser)]
 #[command(
     version,
@@ -45,6 +47,51 @@
     logs: Logs,
 }
 
+fn set(faults: &mut Faults, words: &[&str]) -> Result<(), String> {
+    let [name, value] = words else { return Err("a fault and its value".into()) };
+    let number = || value.parse::<f64>().ok().filter(|value| (0.0..=1000.0).contains(value));
+    let number = || number().ok_or(format!("{name}: '{value}' is not a number from 0 to 1000"));
+    let switch = || match *value {
+        "on" => Ok(true),
+        "off" => Ok(false),
+        other => Err(format!("{name}: '{other}' is neither on nor off")),
+    };
+    match *name {
+        "slow" => faults.slow = number()?.max(0.01),
+        "pause" => faults.pause = number()?,
+        "errors" => faults.errors = number()?,
+        "lost" => faults.lost = number()?,
+        "heavy" => faults.heavy = number()?,
+        "resets" => faults.resets = number()?,
+        "late" => faults.late = number()?,
+        "refuse" => faults.refuse = switch()?,
+        "partition" => faults.partition = switch()?,
+        "deaf" => faults.deaf = switch()?,
+        other => return Err(format!("'{other}' is not a fault")),
+    }
+    Ok(())
+}
+
+/// Follows the script on standard input for as long as it goes on.
+fn script(faults: &Arc<std::sync::Mutex<Faults>>) {
+    let start = std::time::Instant::now();
+    for (at, line) in std::io::stdin().lines().map_while(Result::ok).enumerate() {
+        let mut words: Vec<&str> = line.split_whitespace().collect();
+        if let ["at", seconds, ..] = words[..] {
+            let until = seconds.parse::<f64>().unwrap_or(0.0).clamp(0.0, 86400.0);
+            std::thread::sleep(std::time::Duration::from_secs_f64(until).saturating_sub(start.elapsed()));
+            words.drain(..2);
+        }
+        if words.is_empty() {
+            continue;
+        }
+        // One bad line loses nothing of the others.
+        if let Err(what) = set(&mut faults.lock().unwrap(), &words) {
+            eprintln!("quaypath-target: standard input, line {}: {what}", at + 1);
+        }
+    }
+}
+
 fn start(arguments: Arguments) -> Result<bool, String> {
     let deployment = quaypath_settings::deployment(&arguments.settings).map_err(|error| error.to_string())?;
     let record = match &arguments.record {
@@ -93,6 +140,8 @@
         spread: 0.4,
     };
     let (writer, faults) = (record.clone(), Arc::new(std::sync::Mutex::new(Faults::default())));
+    let scripted = faults.clone();
+    std::thread::spawn(move || script(&scripted));
     Running::here(move |executor| spawn(executor, options, listener, record, faults), async move {
         loop {
             async_io::Timer::after(std::time::Duration::from_millis(500)).await;
--- a/crates/programs/tests/hard_cases.rs
+++ b/crates/programs/tests/hard_cases.rs
@@ -409,3 +409,98 @@
     assert_eq!(arrivals(&target), [(0x100, 0), (0x100, 1)]);
     drop(gateway);
 }
+
+/// Killed and started again with nothing but its list, no register to be found: it serves by the list.
+#[test]
+fn a_restarted_gateway_serves_by_its_last_list() {
+    let target = peer(|_, _| Do::Answer(0));
+    let (mut gateway, mut client) = one(&Shape::default(), &target);
+    settled(&mut client);
+    drop(client);
+    gateway.restart_alone();
+    let mut client = Client::connect(gateway.address);
+    client.ask(BUY, 1, 0x100, 8);
+    assert_eq!(client.io.answer().1, status::SUCCESS);
+}
+
+/// More open transactions than allowed: the rest is turned away before the core, with a time to come back.
+#[test]
+fn transactions_over_the_bound_are_turned_away() {
+    let target = peer(|_, marks| if marks.mark < 0x1000 { Do::Hold } else { Do::Answer(0) });
+    let (gateway, mut client) = one(&Shape { open: 10, outer: 5.0, ..Shape::default() }, &target);
+    settled(&mut client);
+    for at in 1..=15u64 {
+        client.ask(READ, 1, at * 0x100, 8);
+    }
+    (0..5).for_each(|_| assert_eq!(client.io.answer().1, DECLINED));
+    let counts = gateway.counts();
+    assert_eq!(counts["turned_away"], 5, "{counts}");
+}
+
+/// A client that asks and asks and does not read: it is turned away, then closed; others are served meanwhile.
+#[test]
+fn a_client_that_does_not_read_is_closed_and_the_others_served() {
+    let target = peer(|_, _| Do::Answer(0));
+    let (gateway, mut client) = one(&Shape { half_pdu: 0.5, ..Shape::default() }, &target);
+    settled(&mut client);
+    let mut greedy = Client::connect(gateway.address);
+    let mut asked = 0u64;
+    while greedy.io.host.has_room() {
+        asked += 1;
+        greedy.ask(READ, 1, asked * 0x100, 2048);
+    }
+    settled(&mut client);
+    let greedy = &mut greedy.io.stream;
+    until("the greedy client is closed", || {
+        // Nothing is read of what it asked for; only whether the gateway is still there.
+        settled(&mut client);
+        closed(greedy)
+    });
+    settled(&mut client);
+}
+
+/// Whether the peer has closed, whatever waits to be read.
+fn closed(stream: &TcpStream) -> bool {
+    use rustix::event::{poll, PollFd, PollFlags};
+    let mut ask = [PollFd::new(stream, PollFlags::RDHUP)];
+    let none = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut ask, Some(&none)).is_ok()
+        && ask[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+}
+
+/// A connection that is not used is closed, and made again when it is needed.
+#[test]
+fn an_idle_connection_is_closed_and_made_again() {
+    let target = peer(|_, _| Do::Answer(0));
+    let (gateway, mut client) = one(&Shape { idle: 0.3, ..Shape::default() }, &target);
+    settled(&mut client);
+    std::thread::sleep(Duration::from_millis(1200));
+    settled(&mut client);
+    let counts = gateway.counts();
+    assert!(counts["connects"].as_u64().unwrap() >= 2, "{counts}");
+}
+
+/// A busy connection is hardly ever seen between two PDUs; that is no reason to close it.
+#[test]
+fn a_busy_client_is_not_taken_for_a_stuck_one() {
+    let target = peer(|_, _| Do::Answer(0));
+    let (gateway, mut client) = one(&Shape { half_pdu: 0.3, ..Shape::default() }, &target);
+    settled(&mut client);
+    let start = Instant::now();
+    let sqe = Client::sqe(BUY, 1, 0, 16);
+    let (mut nth, mut tail) = (0, Vec::new());
+    // Every write ends in the middle of a PDU, for four times as long as half a PDU may take.
+    while start.elapsed() < Duration::from_millis(1200) {
+        nth += 0x100;
+        let (_, bytes) = client.io.host.submit(Sqe { mptr: nth, ..sqe }, vec![1; sqe.length()], 0).unwrap();
+        let mut out = std::mem::replace(&mut tail, bytes[4000..].to_vec());
+        out.extend_from_slice(&bytes[..4000]);
+        client.io.stream.write_all(&out).unwrap();
+        if nth > 0x100 {
+            assert_eq!(client.io.answer().1, status::SUCCESS);
+        }
+    }
+    client.io.stream.write_all(&tail).unwrap();
+    assert_eq!(client.io.answer().1, status::SUCCESS);
+    drop(gateway);
+}
--- a/crates/programs/tests/helper/mod.rs
+++ b/crates/programs/tests/helper/mod.rs
@@ -32,11 +32,22 @@
     pub grace: f64,
     pub outer: f64,
     pub volumes: u32,
+    pub open: u32,
+    pub idle: f64,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Shape { nodes: 1, connections: 64, half_pdu: 5.0, grace: 1.0, outer: 2.0, volumes: 8 }
+        Shape {
+            nodes: 1,
+            connections: 64,
+            half_pdu: 5.0,
+            grace: 1.0,
+            outer: 2.0,
+            volumes: 8,
+            open: 2048,
+            idle: 30.0,
+        }
     }
 }
 
@@ -50,7 +61,7 @@
 
 impl Shape {
     fn text(&self) -> String {
-        let Shape { nodes, connections, half_pdu, grace, outer, volumes } = self;
+        let Shape { nodes, connections, half_pdu, grace, outer, volumes, open, idle } = self;
         let band = |name: &str, repeat: &str, writes: bool| {
             format!(
                 r#"<band name="{name}" due="1" outer="{outer}" benefit="1" repeat="{repeat}" writes="{writes}"/>"#
@@ -58,9 +69,9 @@
         };
         format!(
             r#"<deployment name="test">
-<listen address="127.0.0.1:0" connections="{connections}" open="2048"/>
+<listen address="127.0.0.1:0" connections="{connections}" open="{open}"/>
 <register address="127.0.0.1:1" mode="pushed"/>
-<connections connect="0.5" idle="30" half-pdu="{half_pdu}"/>
+<connections connect="0.5" idle="{idle}" half-pdu="{half_pdu}"/>
 <allow shots="3" cancel="true" copies="false" longest-return="0.5"/>
 <rules answer-slack="0.05" drain-grace="{grace}" start-capacity="0.2" cold-for="5" fall-multiple="2"
  overload-for="1" young-units="8" key-quiet="0"/>
@@ -90,16 +101,11 @@
 }
 
 impl Gateway {
-    pub fn start(shape: &Shape) -> Gateway {
-        let folder = folder();
-        let settings = folder.join("deployment.xml");
-        std::fs::write(&settings, shape.text()).unwrap();
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let register = Register::start(Mode::Pushed, listener, Writer::memory(Clock::default())).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_quaypath-gateway"))
+    fn spawn(folder: &std::path::Path, register: &str) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_quaypath-gateway"))
             .arg("--settings")
-            .arg(&settings)
-            .args(["--listen", "127.0.0.1:0", "--register", &register.address.to_string(), "--seed", "1"])
+            .arg(folder.join("deployment.xml"))
+            .args(["--listen", "127.0.0.1:0", "--register", register, "--seed", "1"])
             .arg("--list")
             .arg(folder.join("list"))
             .arg("--until-stdin-closes")
@@ -107,7 +113,16 @@
             .stdout(Stdio::piped())
             .stderr(std::fs::File::create(folder.join("log")).unwrap())
             .spawn()
-            .unwrap();
+            .unwrap()
+    }
+
+    pub fn start(shape: &Shape) -> Gateway {
+        let folder = folder();
+        let settings = folder.join("deployment.xml");
+        std::fs::write(&settings, shape.text()).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let register = Register::start(Mode::Pushed, listener, Writer::memory(Clock::default())).unwrap();
+        let mut child = Self::spawn(&folder, &register.address.to_string());
         let mut lines = BufReader::new(child.stdout.take().unwrap());
         let mut line = String::new();
         lines.read_line(&mut line).unwrap();
@@ -115,6 +130,18 @@
         Gateway { child, lines, address, register, folder }
     }
 
+    /// Kills it, and starts it again with nothing but its last list; the register is not to be found.
+    pub fn restart_alone(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let mut child = Self::spawn(&self.folder, "127.0.0.1:1");
+        self.lines = BufReader::new(child.stdout.take().unwrap());
+        let mut line = String::new();
+        self.lines.read_line(&mut line).unwrap();
+        self.address = line.trim().strip_prefix("listening ").unwrap().parse().unwrap();
+        self.child = child;
+    }
+
     pub fn list(&self, node: SocketAddr, block: i64, condition: EntryCondition) {
         self.register.list(&node.to_string(), "hall-0", block, condition, None, 0.0);
     }
