NVMe subset: admin queue, identify, features, log pages, events, keep alive, digests, alignment

Need: the path of a purchase has to be what an engineer who knows the specification expects. Change: the admin queue as a state machine without I/O, associations, what a host does between Connect and I/O; CRC32C digests and data alignment as agreed on, a spoilt header ends the connection, spoilt data fails its command; the success flag.

--- a/crates/nvme/src/command.rs
+++ b/crates/nvme/src/command.rs
@@ -7,11 +7,22 @@
     pub const FLUSH: u8 = 0x00;
     pub const WRITE: u8 = 0x01;
     pub const READ: u8 = 0x02;
+    pub const COMPARE: u8 = 0x05;
+    pub const WRITE_ZEROES: u8 = 0x08;
     /// Admin queue.
+    pub const GET_LOG_PAGE: u8 = 0x02;
+    pub const IDENTIFY: u8 = 0x06;
     pub const ABORT: u8 = 0x08;
+    pub const SET_FEATURES: u8 = 0x09;
+    pub const GET_FEATURES: u8 = 0x0a;
+    pub const ASYNC_EVENT: u8 = 0x0c;
+    pub const KEEP_ALIVE: u8 = 0x18;
     pub const FABRICS: u8 = 0x7f;
-    /// FCTYPE of Connect.
+    /// FCTYPE of the Fabrics commands.
+    pub const PROPERTY_SET: u8 = 0x00;
     pub const CONNECT: u8 = 0x01;
+    pub const PROPERTY_GET: u8 = 0x04;
+    pub const DISCONNECT: u8 = 0x08;
 }
 
 /// A submission queue entry, 64 bytes: the fields that the subset reads, by their dwords.
--- a/crates/nvme/src/controller.rs
+++ b/crates/nvme/src/controller.rs
@@ -4,7 +4,7 @@
 
 use crate::command::{connect_fields, opcode, Cqe, Sqe};
 use crate::host::lengths;
-use crate::pdu::{fatal, refused, DataPart, Decoder, Pdu, Refused};
+use crate::pdu::{fatal, refused, DataPart, Decoder, Format, Pdu, Refused, MAX_ALIGN};
 use crate::{status, MAX_DATA, MAX_H2C, QUEUE_SIZE};
 
 /// Write data gathered at once on one connection, bytes; further writes wait for their R2T. Bounds what one
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub enum Event {
     /// A Connect, answered with [`Controller::accept`] or [`Controller::refuse`].
-    Connect { queue: u16, controller: u16, subsystem: String, host: String },
+    Connect { queue: u16, controller: u16, subsystem: String, host: String, keep_alive_ms: u32 },
     /// A command with all its data.
     Command { sqe: Sqe, data: Vec<u8> },
     /// The host ended the connection.
@@ -39,6 +39,7 @@
     data: Vec<u8>,
     length: usize,
     asked: usize,
+    spoilt: bool,
 }
 
 /// One queue of one host. `out` holds bytes for the socket.
@@ -55,6 +56,11 @@
     gathering: BTreeMap<u16, Gathering>,
     waiting: VecDeque<u16>,
     gathered: usize,
+    /// Digests taken where a host offers them, and the alignment asked of its data.
+    takes: Format,
+    format: Format,
+    /// Reads end with the success flag on their last data in place of a CapsuleResp.
+    pub short_reads: bool,
     pub out: Vec<u8>,
 }
 
@@ -71,12 +77,20 @@
             gathering: BTreeMap::new(),
             waiting: VecDeque::new(),
             gathered: 0,
+            takes: Format { header_digest: true, data_digest: true, align: 0 },
+            format: Format::default(),
+            short_reads: false,
             out: Vec::new(),
         }
     }
 }
 
 impl Controller {
+    /// A controller that takes these digests where they are offered, and asks for this alignment.
+    pub fn taking(takes: Format) -> Self {
+        Controller { takes, ..Controller::default() }
+    }
+
     pub fn state(&self) -> State {
         self.state
     }
@@ -140,12 +154,17 @@
                 self.shift(State::Closed);
                 events.push(Event::Terminated { status, info });
             }
-            (State::Fresh, Pdu::IcReq { pfv, .. }) => {
+            (State::Fresh, Pdu::IcReq { pfv, hpda, digest, .. }) => {
                 if pfv != 0 {
-                    return refused(fatal::INVALID_HEADER, 8, "ICReq is of an unknown format version");
+                    return refused(fatal::UNSUPPORTED, 8, "ICReq is of an unknown format version");
+                }
+                if hpda > MAX_ALIGN || digest & !3 != 0 {
+                    return refused(fatal::INVALID_HEADER, 10, "ICReq asks for what there is not");
                 }
-                // Digests are not offered back, so none is used whatever the host would like.
-                Pdu::IcResp { pfv: 0, cpda: 0, digest: 0, max_h2c: MAX_H2C as u32 }.encode(&mut self.out);
+                let (digest, cpda) = (digest & self.takes.digest(), self.takes.align);
+                Pdu::IcResp { pfv: 0, cpda, digest, max_h2c: MAX_H2C as u32 }.encode(&mut self.out);
+                self.format = Format::of(digest, hpda);
+                self.decoder.agree(self.format);
                 self.shift(State::Initialized);
             }
             (State::Initialized, Pdu::Command { sqe, data }) => self.connect(sqe, &data, events)?,
@@ -169,7 +188,8 @@
         }
         (self.queue, self.size) = (queue, size as u16);
         self.shift(State::Connecting);
-        events.push(Event::Connect { queue, controller, subsystem, host });
+        let keep_alive_ms = sqe.cdw[2];
+        events.push(Event::Connect { queue, controller, subsystem, host, keep_alive_ms });
         Ok(())
     }
 
@@ -178,14 +198,15 @@
         if self.state == State::Connecting {
             self.shift(State::Ready);
             let cqe = Cqe { dw0: u32::from(controller), cid: self.connect_cid, ..Cqe::default() };
-            Pdu::Response(cqe).encode(&mut self.out);
+            Pdu::Response(cqe).encode_in(self.format, &mut self.out);
         }
     }
 
     /// Answers the Connect with a status; the connection is of no further use.
     pub fn refuse(&mut self, status: u16) {
         self.shift(State::Closed);
-        Pdu::Response(Cqe { cid: self.connect_cid, status, ..Cqe::default() }).encode(&mut self.out);
+        let cqe = Cqe { cid: self.connect_cid, status, ..Cqe::default() };
+        Pdu::Response(cqe).encode_in(self.format, &mut self.out);
     }
 
     fn begin(&mut self, sqe: Sqe, data: Vec<u8>, events: &mut Vec<Event>) -> Result<(), Refused> {
@@ -205,10 +226,13 @@
             return Ok(());
         }
         self.open.insert(sqe.cid, sqe);
-        if length == 0 || data.len() == length {
+        if self.decoder.spoilt() {
+            self.respond(Cqe { cid: sqe.cid, status: status::TRANSPORT_ERROR, ..Cqe::default() }, &[]);
+        } else if length == 0 || data.len() == length {
             events.push(Event::Command { sqe, data });
         } else if data.is_empty() {
-            self.gathering.insert(sqe.cid, Gathering { sqe, data: Vec::new(), length, asked: 0 });
+            self.gathering
+                .insert(sqe.cid, Gathering { sqe, data: Vec::new(), length, asked: 0, spoilt: false });
             self.waiting.push_back(sqe.cid);
             self.ask();
         } else {
@@ -230,12 +254,13 @@
             self.gathered += write.length;
             write.asked = write.length.min(MAX_H2C);
             let r2t = Pdu::R2t { cid, ttag: cid, offset: 0, length: write.asked as u32 };
-            r2t.encode(&mut self.out);
+            r2t.encode_in(self.format, &mut self.out);
             self.waiting.pop_front();
         }
     }
 
     fn data(&mut self, part: DataPart, events: &mut Vec<Event>) -> Result<(), Refused> {
+        let bad = self.decoder.spoilt();
         let Some(write) = self.gathering.get_mut(&part.cid) else {
             return refused(fatal::SEQUENCE, 8, "data for a command that waits for none");
         };
@@ -244,17 +269,22 @@
             return refused(fatal::OUT_OF_RANGE, 12, "data outside what R2T asked for, or out of order");
         }
         write.data.extend_from_slice(&part.data);
+        write.spoilt |= bad;
         if end == write.length {
-            let Gathering { sqe, data, length, .. } = self.gathering.remove(&part.cid).unwrap();
+            let Gathering { sqe, data, length, spoilt, .. } = self.gathering.remove(&part.cid).unwrap();
             self.gathered -= length;
-            events.push(Event::Command { sqe, data });
+            if spoilt {
+                self.respond(Cqe { cid: sqe.cid, status: status::TRANSPORT_ERROR, ..Cqe::default() }, &[]);
+            } else {
+                events.push(Event::Command { sqe, data });
+            }
             self.ask();
         } else if end == write.asked {
             let (offset, length) = (write.asked, (write.length - write.asked).min(MAX_H2C));
             write.asked += length;
             let r2t =
                 Pdu::R2t { cid: part.cid, ttag: part.cid, offset: offset as u32, length: length as u32 };
-            r2t.encode(&mut self.out);
+            r2t.encode_in(self.format, &mut self.out);
         }
         Ok(())
     }
@@ -266,13 +296,18 @@
         }
         self.head = (self.head + 1) % self.size;
         (cqe.sq_head, cqe.sq_id) = (self.head, self.queue);
+        // The flag stands for a completion without any field set, so only where none is.
+        let plain = Cqe { sq_head: 0, sq_id: 0, cid: 0, ..cqe } == Cqe::default();
+        let short = self.short_reads && plain && !data.is_empty();
         let mut pieces = data.chunks(MAX_H2C).enumerate().peekable();
         while let Some((at, piece)) = pieces.next() {
             let (offset, last) = ((at * MAX_H2C) as u32, pieces.peek().is_none());
-            let data = piece.to_vec();
-            Pdu::C2hData(DataPart { cid: cqe.cid, ttag: 0, offset, last, success: false, data })
-                .encode(&mut self.out);
+            let (data, success) = (piece.to_vec(), last && short);
+            Pdu::C2hData(DataPart { cid: cqe.cid, ttag: 0, offset, last, success, data })
+                .encode_in(self.format, &mut self.out);
+        }
+        if !short {
+            Pdu::Response(cqe).encode_in(self.format, &mut self.out);
         }
-        Pdu::Response(cqe).encode(&mut self.out);
     }
 }
--- a/crates/nvme/src/host.rs
+++ b/crates/nvme/src/host.rs
@@ -4,8 +4,8 @@
 //! nobody waits for that any more ([`Host::forget`]): a late answer must not be read as another command's.
 
 use crate::command::{connect_data, opcode, Cqe, Sqe, CONNECT_LEN};
-use crate::pdu::{fatal, refused, DataPart, Decoder, Pdu, Refused};
-use crate::{IN_CAPSULE, MAX_DATA, MAX_H2C};
+use crate::pdu::{fatal, refused, DataPart, Decoder, Format, Pdu, Refused, MAX_ALIGN};
+use crate::{status, IN_CAPSULE, MAX_DATA, MAX_H2C};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -43,9 +43,21 @@
         outgoing: Vec<u8>,
         incoming: Vec<u8>,
         expected: usize,
+        /// Data came whose digest does not match.
+        spoilt: bool,
     },
 }
 
+/// What a host offers and insists on when it connects.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Offer {
+    pub format: Format,
+    /// A controller that does not take the digests offered is refused.
+    pub insist: bool,
+    /// Keep alive time-out told with the admin queue's Connect, milliseconds; 0: none.
+    pub keep_alive_ms: u32,
+}
+
 /// One queue at one controller. `out` holds bytes for the socket that the machine itself produced.
 #[derive(Debug)]
 pub struct Host {
@@ -56,21 +68,34 @@
     taken: usize,
     forgotten: usize,
     max_h2c: usize,
+    offer: Offer,
+    format: Format,
+    /// Where the controller's queue is, as its last completion told (SQHD).
+    head: u16,
     pub out: Vec<u8>,
     connect: Option<(Sqe, Vec<u8>)>,
 }
 
 impl Host {
     /// Starts connecting queue `queue` with `size` entries; `controller` is the id that the admin queue was
-    /// given, or [`crate::command::ANY_CONTROLLER`] on the admin queue itself.
+    /// given, or [`crate::command::ANY_CONTROLLER`] on the admin queue itself. Nothing is offered.
     pub fn start(queue: u16, size: u16, controller: u16, subsystem: &str, host: &str) -> Self {
+        Self::start_with(queue, size, controller, subsystem, host, Offer::default())
+    }
+
+    /// As [`Host::start`], with an offer.
+    pub fn start_with(
+        queue: u16, size: u16, controller: u16, subsystem: &str, host: &str, offer: Offer,
+    ) -> Self {
         let mut out = Vec::new();
-        Pdu::IcReq { pfv: 0, hpda: 0, digest: 0, max_r2t: 0 }.encode(&mut out);
-        let mut id = [0; 16];
+        let digest = offer.format.digest();
+        Pdu::IcReq { pfv: 0, hpda: offer.format.align, digest, max_r2t: 0 }.encode(&mut out);
+        let mut id = [0u8; 16];
         for (at, byte) in host.bytes().enumerate() {
-            id[at % 16] ^= byte;
+            id[at % 16] = id[at % 16].rotate_left(3) ^ byte;
         }
-        let connect = Sqe::connect(queue, size, 0).with_data(CONNECT_LEN, true);
+        let keep_alive = if queue == 0 { offer.keep_alive_ms } else { 0 };
+        let connect = Sqe::connect(queue, size, keep_alive).with_data(CONNECT_LEN, true);
         Host {
             state: State::Initializing,
             decoder: Decoder::default(),
@@ -79,11 +104,19 @@
             taken: 0,
             forgotten: 0,
             max_h2c: MAX_H2C,
+            offer,
+            format: Format::default(),
+            head: 0,
             out,
             connect: Some((connect, connect_data(id, controller, subsystem, host))),
         }
     }
 
+    /// Entry that the controller's queue has come to, as its last completion told.
+    pub fn head(&self) -> u16 {
+        self.head
+    }
+
     pub fn state(&self) -> State {
         self.state
     }
@@ -134,8 +167,10 @@
         } else if !inside.is_empty() {
             sqe = sqe.with_data(inside.len(), true);
         }
-        Pdu::Command { sqe, data: inside }.encode(&mut bytes);
-        self.slots[at] = Slot::Taken { forgotten: false, outgoing: outside, incoming: Vec::new(), expected };
+        Pdu::Command { sqe, data: inside }.encode_in(self.format, &mut bytes);
+        let incoming = Vec::new();
+        self.slots[at] =
+            Slot::Taken { forgotten: false, outgoing: outside, incoming, expected, spoilt: false };
         Some((at as u16, bytes))
     }
 
@@ -191,18 +226,28 @@
                 self.shift(State::Closed);
                 events.push(Event::Terminated { status, info });
             }
-            (State::Initializing, Pdu::IcResp { pfv, digest, max_h2c, .. }) => {
-                if pfv != 0 || digest != 0 || max_h2c < 4096 {
+            (State::Initializing, Pdu::IcResp { pfv, cpda, digest, max_h2c }) => {
+                let offered = self.offer.format.digest();
+                if pfv != 0 || digest & !offered != 0 || max_h2c < 4096 || cpda > MAX_ALIGN {
                     return refused(fatal::INVALID_HEADER, 8, "ICResp asks for what was not offered");
                 }
+                if self.offer.insist && digest != offered {
+                    return refused(
+                        fatal::UNSUPPORTED,
+                        11,
+                        "the controller does not take the digests asked for",
+                    );
+                }
                 self.max_h2c = (max_h2c as usize).min(MAX_DATA);
+                self.format = Format::of(digest, cpda);
+                self.decoder.agree(self.format);
                 if let Some((sqe, data)) = self.connect.take() {
-                    Pdu::Command { sqe, data }.encode(&mut self.out);
+                    Pdu::Command { sqe, data }.encode_in(self.format, &mut self.out);
                 }
                 self.shift(State::Connecting);
             }
             (State::Connecting, Pdu::Response(cqe)) => {
-                if cqe.status != 0 {
+                if cqe.status != status::SUCCESS {
                     self.shift(State::Closed);
                     events.push(Event::Refused { status: cqe.status });
                 } else {
@@ -226,11 +271,16 @@
         };
         match std::mem::take(slot) {
             Slot::Free => refused(fatal::SEQUENCE, 20, "completion for a command that is not out"),
-            Slot::Taken { forgotten, incoming, expected, .. } => {
+            Slot::Taken { forgotten, incoming, expected, spoilt, .. } => {
                 self.taken -= 1;
                 self.forgotten -= usize::from(forgotten);
+                self.head = cqe.sq_head;
                 if forgotten {
                     events.push(Event::Late { cid: cqe.cid });
+                } else if spoilt {
+                    // The command may have run; what it brought is of no use.
+                    let cqe = Cqe { status: status::TRANSPORT_ERROR, ..cqe };
+                    events.push(Event::Done { cid: cqe.cid, cqe, data: Vec::new() });
                 } else if cqe.status == 0 && incoming.len() != expected {
                     return refused(fatal::SEQUENCE, 0, "a read completed without all its data");
                 } else {
@@ -242,7 +292,9 @@
     }
 
     fn data(&mut self, part: DataPart, events: &mut Vec<Event>) -> Result<(), Refused> {
-        let Some(Slot::Taken { incoming, expected, .. }) = self.slots.get_mut(part.cid as usize) else {
+        let bad = self.decoder.spoilt();
+        let Some(Slot::Taken { incoming, expected, spoilt, .. }) = self.slots.get_mut(part.cid as usize)
+        else {
             return refused(fatal::SEQUENCE, 8, "data for a command that is not out");
         };
         if part.offset as usize != incoming.len() || incoming.len() + part.data.len() > *expected {
@@ -253,6 +305,7 @@
             );
         }
         incoming.extend_from_slice(&part.data);
+        *spoilt |= bad;
         if part.success {
             if !part.last {
                 return refused(fatal::INVALID_HEADER, 1, "success without the last data");
@@ -274,7 +327,7 @@
             let end = to.min(at + self.max_h2c);
             let (last, data) = (end == to, outgoing[at..end].to_vec());
             let part = DataPart { cid, ttag, offset: at as u32, last, success: false, data };
-            Pdu::H2cData(part).encode(&mut self.out);
+            Pdu::H2cData(part).encode_in(self.format, &mut self.out);
         }
         Ok(())
     }
@@ -283,7 +336,7 @@
 /// Bytes that a command of this opcode writes, or reads, by its own fields.
 pub fn lengths(sqe: &Sqe) -> (usize, usize) {
     match sqe.opcode {
-        opcode::WRITE => (sqe.length(), 0),
+        opcode::WRITE | opcode::COMPARE => (sqe.length(), 0),
         opcode::READ => (0, sqe.length()),
         _ => (0, 0),
     }
--- a/crates/nvme/src/lib.rs
+++ b/crates/nvme/src/lib.rs
@@ -5,8 +5,11 @@
 //! Command Set Specification (Read, Write, Flush). `docs/protocol.md` lists what is left out and what rides in
 //! vendor-specific places.
 
+pub mod admin;
+pub mod association;
 pub mod command;
 pub mod controller;
+pub mod enable;
 pub mod host;
 pub mod pdu;
 pub mod status;
--- a/crates/nvme/src/pdu.rs
+++ b/crates/nvme/src/pdu.rs
@@ -1,7 +1,7 @@
 //! PDUs: layouts, encoding, and decoding over any split of bytes.
 //!
-//! Every PDU starts with the common header: type, flags, HLEN, PDO, PLEN. Header and data digests are not
-//! negotiated in this part of the subset, so a PDU with a digest flag is refused.
+//! Every PDU starts with the common header: type, flags, HLEN, PDO, PLEN. After that come header digest, padding up
+//! to the data's alignment, data and data digest, as far as both ends agreed on them ([`Format`]).
 
 use thiserror::Error;
 
@@ -90,12 +90,45 @@
     },
 }
 
+/// What both ends agreed on when the connection was made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Format {
+    /// CRC32C over the header of every PDU but ICReq, ICResp and term requests.
+    pub header_digest: bool,
+    /// CRC32C over the data of every PDU that carries some.
+    pub data_digest: bool,
+    /// Alignment of data within a PDU that this end sends, in dwords less one (HPDA or CPDA of the other end).
+    pub align: u8,
+}
+
+impl Format {
+    /// From the DGST byte of ICReq or ICResp.
+    pub fn of(digest: u8, align: u8) -> Self {
+        Format { header_digest: digest & 1 != 0, data_digest: digest & 2 != 0, align }
+    }
+
+    pub fn digest(&self) -> u8 {
+        u8::from(self.header_digest) | u8::from(self.data_digest) << 1
+    }
+
+    /// Where data starts in a PDU with a header of `hlen` bytes.
+    fn pdo(&self, hlen: usize) -> usize {
+        let after = hlen + if self.header_digest { 4 } else { 0 };
+        after.next_multiple_of((usize::from(self.align) + 1) * 4)
+    }
+}
+
+/// Largest HPDA or CPDA: data starts on a multiple of 128 bytes.
+pub const MAX_ALIGN: u8 = 31;
+
 /// Fatal error status (FES) values of the term requests.
 pub mod fatal {
     pub const INVALID_HEADER: u16 = 1;
     pub const SEQUENCE: u16 = 2;
+    pub const HEADER_DIGEST: u16 = 3;
     pub const OUT_OF_RANGE: u16 = 4;
     pub const LIMIT: u16 = 5;
+    pub const UNSUPPORTED: u16 = 6;
 }
 
 /// What a peer sent that cannot be taken; the connection ends with a term request.
@@ -119,67 +152,75 @@
     u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
 }
 
-fn header(out: &mut Vec<u8>, kind: u8, flags: u8, hlen: usize, data: usize) {
-    let pdo = if data > 0 { hlen } else { 0 };
+/// Appends a PDU of this kind: what follows the common header up to HLEN, then the data.
+fn put(out: &mut Vec<u8>, kind: u8, flags: u8, format: Format, hlen: usize, rest: &[&[u8]], data: &[u8]) {
+    let start = out.len();
+    let pdo = if data.is_empty() { 0 } else { format.pdo(hlen) };
+    let digests = [(format.header_digest, FLAG_HDGST), (format.data_digest && !data.is_empty(), FLAG_DDGST)];
+    let flags = digests.iter().filter(|(on, _)| *on).fold(flags, |flags, (_, flag)| flags | flag);
+    let header = hlen + if format.header_digest { 4 } else { 0 };
+    let plen = if data.is_empty() { header } else { pdo + data.len() + if digests[1].0 { 4 } else { 0 } };
     out.extend_from_slice(&[kind, flags, hlen as u8, pdo as u8]);
-    out.extend_from_slice(&((hlen + data) as u32).to_le_bytes());
+    out.extend_from_slice(&(plen as u32).to_le_bytes());
+    rest.iter().for_each(|bytes| out.extend_from_slice(bytes));
+    out.resize(start + hlen, 0);
+    if format.header_digest {
+        let digest = crc32c::crc32c(&out[start..]);
+        out.extend_from_slice(&digest.to_le_bytes());
+    }
+    if !data.is_empty() {
+        out.resize(start + pdo, 0);
+        out.extend_from_slice(data);
+        if digests[1].0 {
+            out.extend_from_slice(&crc32c::crc32c(data).to_le_bytes());
+        }
+    }
 }
 
-fn data_pdu(out: &mut Vec<u8>, kind: u8, part: &DataPart) {
+fn put_data(out: &mut Vec<u8>, kind: u8, format: Format, part: &DataPart) {
     let flags = if part.last { FLAG_LAST } else { 0 } | if part.success { FLAG_SUCCESS } else { 0 };
-    header(out, kind, flags, DATA_LEN, part.data.len());
-    out.extend_from_slice(&part.cid.to_le_bytes());
-    out.extend_from_slice(&part.ttag.to_le_bytes());
-    out.extend_from_slice(&part.offset.to_le_bytes());
-    out.extend_from_slice(&(part.data.len() as u32).to_le_bytes());
-    out.extend_from_slice(&[0; 4]);
-    out.extend_from_slice(&part.data);
+    let (offset, length) = (part.offset.to_le_bytes(), (part.data.len() as u32).to_le_bytes());
+    let rest: [&[u8]; 4] = [&part.cid.to_le_bytes(), &part.ttag.to_le_bytes(), &offset, &length];
+    put(out, kind, flags, format, DATA_LEN, &rest, &part.data);
 }
 
 impl Pdu {
-    /// Appends the PDU's bytes.
+    /// Appends the PDU's bytes in the plain format: no digests, no alignment.
     pub fn encode(&self, out: &mut Vec<u8>) {
-        let start = out.len();
+        self.encode_in(Format::default(), out);
+    }
+
+    /// Appends the PDU's bytes as agreed on. PDUs of the connection's set-up and end are always plain.
+    pub fn encode_in(&self, format: Format, out: &mut Vec<u8>) {
+        let plain = Format::default();
+        let mut entry = Vec::with_capacity(64);
         match self {
             Pdu::IcReq { pfv, hpda, digest, max_r2t } => {
-                header(out, ICREQ, 0, INIT_LEN, 0);
-                out.extend_from_slice(&pfv.to_le_bytes());
-                out.extend_from_slice(&[*hpda, *digest]);
-                out.extend_from_slice(&max_r2t.to_le_bytes());
-                out.resize(start + INIT_LEN, 0);
+                let rest: [&[u8]; 3] = [&pfv.to_le_bytes(), &[*hpda, *digest], &max_r2t.to_le_bytes()];
+                put(out, ICREQ, 0, plain, INIT_LEN, &rest, &[]);
             }
             Pdu::IcResp { pfv, cpda, digest, max_h2c } => {
-                header(out, ICRESP, 0, INIT_LEN, 0);
-                out.extend_from_slice(&pfv.to_le_bytes());
-                out.extend_from_slice(&[*cpda, *digest]);
-                out.extend_from_slice(&max_h2c.to_le_bytes());
-                out.resize(start + INIT_LEN, 0);
+                let rest: [&[u8]; 3] = [&pfv.to_le_bytes(), &[*cpda, *digest], &max_h2c.to_le_bytes()];
+                put(out, ICRESP, 0, plain, INIT_LEN, &rest, &[]);
             }
             Pdu::H2cTerm { status, info } | Pdu::C2hTerm { status, info } => {
                 let kind = if matches!(self, Pdu::H2cTerm { .. }) { H2C_TERM } else { C2H_TERM };
-                header(out, kind, 0, RESP_LEN, 0);
-                out.extend_from_slice(&status.to_le_bytes());
-                out.extend_from_slice(&info.to_le_bytes());
-                out.resize(start + RESP_LEN, 0);
+                put(out, kind, 0, plain, RESP_LEN, &[&status.to_le_bytes(), &info.to_le_bytes()], &[]);
             }
             Pdu::Command { sqe, data } => {
-                header(out, CAPSULE_CMD, 0, CMD_LEN, data.len());
-                sqe.encode(out);
-                out.extend_from_slice(data);
+                sqe.encode(&mut entry);
+                put(out, CAPSULE_CMD, 0, format, CMD_LEN, &[&entry], data);
             }
             Pdu::Response(cqe) => {
-                header(out, CAPSULE_RESP, 0, RESP_LEN, 0);
-                cqe.encode(out);
+                cqe.encode(&mut entry);
+                put(out, CAPSULE_RESP, 0, format, RESP_LEN, &[&entry], &[]);
             }
-            Pdu::H2cData(part) => data_pdu(out, H2C_DATA, part),
-            Pdu::C2hData(part) => data_pdu(out, C2H_DATA, part),
+            Pdu::H2cData(part) => put_data(out, H2C_DATA, format, part),
+            Pdu::C2hData(part) => put_data(out, C2H_DATA, format, part),
             Pdu::R2t { cid, ttag, offset, length } => {
-                header(out, R2T, 0, DATA_LEN, 0);
-                out.extend_from_slice(&cid.to_le_bytes());
-                out.extend_from_slice(&ttag.to_le_bytes());
-                out.extend_from_slice(&offset.to_le_bytes());
-                out.extend_from_slice(&length.to_le_bytes());
-                out.extend_from_slice(&[0; 4]);
+                let (offset, length) = (offset.to_le_bytes(), length.to_le_bytes());
+                let rest: [&[u8]; 4] = [&cid.to_le_bytes(), &ttag.to_le_bytes(), &offset, &length];
+                put(out, R2T, 0, format, DATA_LEN, &rest, &[]);
             }
         }
     }
@@ -192,9 +233,22 @@
     bytes: Vec<u8>,
     read: usize,
     whole: u64,
+    format: Format,
+    /// The last PDU's data does not match its digest.
+    spoilt: bool,
 }
 
 impl Decoder {
+    /// What was agreed on holds for every PDU from here on.
+    pub fn agree(&mut self, format: Format) {
+        self.format = format;
+    }
+
+    /// Whether the data of the PDU given last does not match its digest. Not fatal: its command fails.
+    pub fn spoilt(&self) -> bool {
+        self.spoilt
+    }
+
     pub fn feed(&mut self, bytes: &[u8]) {
         if self.read > 0 && (self.read == self.bytes.len() || self.read > 64 * 1024) {
             self.bytes.drain(..self.read);
@@ -233,20 +287,34 @@
         if hlen != expected {
             return refused(fatal::INVALID_HEADER, 2, "HLEN does not fit the PDU type");
         }
-        if flags & (FLAG_HDGST | FLAG_DDGST) != 0 {
-            return refused(fatal::INVALID_HEADER, 1, "a digest was not agreed on");
+        let set_up = matches!(kind, ICREQ | ICRESP | H2C_TERM | C2H_TERM);
+        let header_digest = self.format.header_digest && !set_up;
+        let header = hlen + if header_digest { 4 } else { 0 };
+        let has_data = plen > header && !set_up;
+        let data_digest = self.format.data_digest && has_data;
+        let agreed = if header_digest { FLAG_HDGST } else { 0 } | if data_digest { FLAG_DDGST } else { 0 };
+        if flags & (FLAG_HDGST | FLAG_DDGST) != agreed {
+            return refused(fatal::INVALID_HEADER, 1, "digest flags are not those agreed on");
         }
-        if plen < hlen || plen > hlen + most + pdo.saturating_sub(hlen) {
+        let tail = if data_digest { 4 } else { 0 };
+        if plen < header
+            || plen > header + most + tail + if has_data { pdo.saturating_sub(header) } else { 0 }
+        {
             return refused(fatal::INVALID_HEADER, 4, "PLEN is out of bounds for the PDU type");
         }
-        let term = matches!(kind, H2C_TERM | C2H_TERM);
-        if plen > hlen && !term && (pdo < hlen || pdo > plen) {
+        if has_data && (pdo < header || pdo + tail > plen) {
             return refused(fatal::INVALID_HEADER, 3, "PDO lies outside the PDU");
         }
         if bytes.len() < plen {
             return Ok(None);
         }
-        let pdu = Self::decode(kind, flags, &bytes[..plen], if plen > hlen { pdo } else { plen })?;
+        let sum = |at: usize| u32_at(bytes, at);
+        if header_digest && sum(hlen) != crc32c::crc32c(&bytes[..hlen]) {
+            return refused(fatal::HEADER_DIGEST, 0, "header digest does not match");
+        }
+        let end = plen - tail;
+        self.spoilt = data_digest && sum(end) != crc32c::crc32c(&bytes[pdo..end]);
+        let pdu = Self::decode(kind, flags, &bytes[..end], if has_data { pdo } else { end })?;
         self.read += plen;
         self.whole += 1;
         Ok(Some(pdu))
