--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -16,6 +16,8 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use quaypath::types::*;
+use quaypath_nvme::admin::{plain, Do, Group, Kind, Record, View};
+use quaypath_nvme::association::Associations;
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, Told};
 use quaypath_nvme::controller::{self, Controller};
 use quaypath_nvme::host::{self, Host};
@@ -25,6 +27,7 @@
 use tracing::{debug, info, warn};
 
 use crate::core::{Action, Actions, Core};
+use crate::index::Index;
 use crate::list::{Call, Known, List, News, NewsScope};
 use crate::net;
 use crate::outcome::{outcome, Ended, Progress};
@@ -61,6 +64,8 @@
     pub connects_failed: u64,
     /// Connections reset because bytes for a draining node had not left in time.
     pub drain_resets: u64,
+    /// Associations with nodes given up for want of a sign of life.
+    pub keep_alive_lost: u64,
     pub stalls: u64,
     /// Seconds of CPU spent in the core.
     pub core_seconds: f64,
@@ -147,7 +152,6 @@
     stream: Rc<Async<TcpStream>>,
     machine: Controller,
     sent: usize,
-    association: u16,
     open: HashMap<u16, u64>,
     /// Read data that its open commands will bring.
     asked: usize,
@@ -177,6 +181,11 @@
     blocked: bool,
     /// No more commands: its queue is full of ids whose late answers never came.
     retired: bool,
+    /// Its number among the association's queues.
+    number: u16,
+    /// Admin queue: the Keep Alive that is out, and when the last was sent.
+    keeping: Option<u16>,
+    kept_at: f64,
 }
 
 #[derive(Default)]
@@ -184,8 +193,8 @@
     #[default]
     Closed,
     Opening,
-    /// I/O connection and admin connection.
-    Up(u64, u64),
+    /// I/O connections and the admin connection.
+    Up(Vec<u64>, u64),
 }
 
 #[derive(Default)]
@@ -212,7 +221,8 @@
     open: BTreeMap<u64, Open>,
     next_id: u64,
     next_connection: u64,
-    next_association: u16,
+    associations: Associations,
+    index: Index,
     fronts: HashMap<u64, Front>,
     backs: HashMap<u64, Back>,
     nodes: BTreeMap<NodeId, Node>,
@@ -255,7 +265,8 @@
             open: BTreeMap::new(),
             next_id: 1,
             next_connection: 1,
-            next_association: 1,
+            associations: Associations::new(options.deployment.listen.connections),
+            index: Index::new(&options.deployment),
             fronts: HashMap::new(),
             backs: HashMap::new(),
             nodes: BTreeMap::new(),
@@ -278,6 +289,10 @@
         instance
     }
 
+    pub fn executor(&self) -> Option<Rc<LocalExecutor<'static>>> {
+        self.executor.upgrade()
+    }
+
     /// Reads the clock; every turn starts with it, and the core is called with nothing else.
     pub fn begin_turn(&mut self) {
         self.now = self.clock.now().max(self.now);
@@ -446,6 +461,11 @@
             let _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(std::time::Duration::ZERO));
             self.front_closed(connection);
         }
+        for connection in self.associations.lost(now) {
+            info!(connection, "closed: nothing was heard of the client for its keep alive time-out");
+            self.front_closed(connection);
+        }
+        self.keep_alive();
         let backs: Vec<u64> =
             self.backs.iter().filter(|(_, back)| stuck(&back.stuck)).map(|(at, _)| *at).collect();
         for connection in backs {
@@ -458,17 +478,19 @@
                 && back.sent == back.current.len()
                 && (back.retired || now - back.used_at > waits.idle)
         };
-        let ups = self.nodes.values().filter_map(|node| match node.link {
-            Link::Up(io, admin) => Some((io, admin)),
-            _ => None,
-        });
-        let admins: HashMap<u64, u64> = ups.map(|(io, admin)| (admin, io)).collect();
-        let closing: Vec<u64> = self
-            .backs
-            .iter()
-            .filter(|(at, back)| !admins.contains_key(at) && idle(back))
-            .map(|(at, _)| *at)
-            .collect();
+        // An association goes as a whole: when all its I/O queues are idle, by its admin queue.
+        let mut closing = Vec::new();
+        let mut kept: Vec<u64> = Vec::new();
+        for node in self.nodes.values() {
+            if let Link::Up(ios, admin) = &node.link {
+                kept.extend(ios.iter().chain([admin]));
+                if ios.iter().all(|io| self.backs.get(io).is_none_or(idle)) {
+                    closing.push(*admin);
+                }
+            }
+        }
+        let others = self.backs.iter().filter(|(at, back)| !kept.contains(at) && idle(back));
+        closing.extend(others.map(|(at, _)| *at));
         closing.into_iter().for_each(|connection| self.back_closed(connection));
         // A node that is gone, with nothing at it, need not be remembered.
         self.nodes.retain(|_, node| {
@@ -484,6 +506,34 @@
         self.counts.clone()
     }
 
+    /// Asks nodes for a sign of life, and gives up associations that gave none in time.
+    fn keep_alive(&mut self) {
+        let (now, wait) = (self.now, self.deployment.connections.keep_alive);
+        if wait <= 0.0 {
+            return;
+        }
+        let up = self.nodes.values().filter_map(|node| match &node.link {
+            Link::Up(_, admin) => Some(*admin),
+            _ => None,
+        });
+        let admins: Vec<u64> = up.collect();
+        for admin in admins {
+            let Some(back) = self.backs.get_mut(&admin) else { continue };
+            let since = now - back.kept_at;
+            if back.keeping.is_some() && since > wait {
+                warn!(node = %back.node.0, "closed: the node gave no sign of life for the keep alive time-out");
+                self.counts.keep_alive_lost += 1;
+                self.back_closed(admin);
+            } else if back.keeping.is_none() && since > wait / 3.0 {
+                if let Some((cid, bytes)) = back.machine.submit(plain(opcode::KEEP_ALIVE), Vec::new(), 0) {
+                    (back.keeping, back.kept_at) = (Some(cid), now);
+                    back.machine.out.extend(bytes);
+                    self.dirty.push(admin);
+                }
+            }
+        }
+    }
+
     // The register.
 
     pub fn news(&mut self, news: &News) {
@@ -593,7 +643,6 @@
             stream,
             machine: Controller::default(),
             sent: 0,
-            association: 0,
             open: HashMap::new(),
             asked: 0,
             stuck: Stuck { unfinished: Some(self.now), unmoved: None },
@@ -617,8 +666,8 @@
         }
         for event in events {
             match event {
-                controller::Event::Connect { queue, controller, .. } => {
-                    self.connect(connection, queue, controller)
+                controller::Event::Connect { queue, controller, host, keep_alive_ms, .. } => {
+                    self.connect(connection, queue, controller, &host, keep_alive_ms);
                 }
                 controller::Event::Command { sqe, data } => self.command(connection, sqe, data),
                 controller::Event::Terminated { status, info } => {
@@ -637,76 +686,69 @@
         good
     }
 
-    fn connect(&mut self, connection: u64, queue: u16, controller: u16) {
-        let known = self.fronts.values().any(|front| front.association == controller && controller != 0);
-        let front = self.fronts.get_mut(&connection).unwrap();
-        if queue == 0 {
-            front.association = self.next_association;
-            // 0 stands for none and 0xffff for any.
-            self.next_association = self.next_association % 0xfffe + 1;
-            front.machine.accept(front.association);
-        } else if known {
-            front.association = controller;
-            front.machine.accept(controller);
-        } else {
-            front.machine.refuse(status::CONNECT_INVALID | status::DNR);
+    fn connect(&mut self, connection: u64, queue: u16, controller: u16, host: &str, keep_alive_ms: u32) {
+        let given = self.associations.connect(self.now, connection, queue, controller, host, keep_alive_ms);
+        let Some(front) = self.fronts.get_mut(&connection) else { return };
+        match given {
+            Ok(controller) => front.machine.accept(controller),
+            Err(status) => front.machine.refuse(status),
         }
     }
 
     fn respond(&mut self, connection: u64, cid: u16, status: u16, dw0: u32, data: &[u8]) {
+        self.respond_with(connection, Cqe { dw0, cid, status, ..Cqe::default() }, data);
+    }
+
+    fn respond_with(&mut self, connection: u64, cqe: Cqe, data: &[u8]) {
         if let Some(front) = self.fronts.get_mut(&connection) {
-            front.machine.respond(Cqe { dw0, cid, status, ..Cqe::default() }, data);
+            front.machine.respond(cqe, data);
             self.dirty.push(connection);
         }
     }
 
     fn command(&mut self, connection: u64, sqe: Sqe, data: Vec<u8>) {
-        let front = &self.fronts[&connection];
+        let Some(front) = self.fronts.get(&connection) else { return };
         let refuse = status::INVALID_FIELD | status::DNR;
         if front.machine.queue() == 0 {
-            if sqe.opcode != opcode::ABORT {
-                return self.respond(connection, sqe.cid, status::INVALID_OPCODE | status::DNR, 0, &[]);
-            }
-            let (queue, cid) = sqe.aborts();
-            let named = self
-                .fronts
-                .iter()
-                .find(|(_, other)| other.association == front.association && other.machine.queue() == queue);
-            let found = named.and_then(|(at, other)| other.open.get(&cid).map(|id| (*at, *id)));
-            if let Some((at, id)) = found {
-                self.respond(at, cid, status::ABORTED_BY_REQUEST, 0, &[]);
-                self.lapse(id);
-            }
-            return self.respond(connection, sqe.cid, status::SUCCESS, u32::from(found.is_none()), &[]);
+            return self.admin(connection, &sqe);
+        }
+        self.associations.heard(self.now, connection);
+        if !self.associations.of(connection).is_some_and(|(association, _)| association.admin.serves()) {
+            return self.respond(connection, sqe.cid, status::COMMAND_SEQUENCE | status::DNR, 0, &[]);
         }
         // Nothing is held here that a flush could make durable: a write is answered after its node has it.
         if sqe.opcode == opcode::FLUSH {
             return self.respond(connection, sqe.cid, status::SUCCESS, 0, &[]);
         }
-        if !matches!(sqe.opcode, opcode::READ | opcode::WRITE) {
+        if !matches!(sqe.opcode, opcode::READ | opcode::WRITE | opcode::WRITE_ZEROES | opcode::COMPARE) {
             return self.respond(connection, sqe.cid, status::INVALID_OPCODE | status::DNR, 0, &[]);
         }
         let deployment = self.deployment.clone();
         let Some(volume) = deployment.volumes.get(&sqe.nsid) else {
             return self.respond(connection, sqe.cid, status::INVALID_NAMESPACE | status::DNR, 0, &[]);
         };
-        let (marks, writes) = (Marks::of(&sqe), sqe.opcode == opcode::WRITE);
+        let marks = Marks::of(&sqe);
+        let writes = matches!(sqe.opcode, opcode::WRITE | opcode::WRITE_ZEROES);
+        let length = sqe.length();
         let band = match marks.band {
-            0 => deployment.writes.iter().position(|known| *known == writes),
+            0 => deployment.band_of(sqe.nsid, length as u32, writes),
             band => Some(usize::from(band) - 1),
         };
         // A write under a reading band would be repeated as a read may be.
         let Some(band) = band.filter(|band| deployment.writes.get(*band) == Some(&writes)) else {
             return self.respond(connection, sqe.cid, refuse, 0, &[]);
         };
-        let length = sqe.length();
-        let last = sqe.slba().saturating_add((length / BLOCK_SIZE) as u64 - 1);
-        let (extent, block) = deployment.place(volume, sqe.slba());
+        let blocks = (length / BLOCK_SIZE) as u64;
+        let place = self.index.place(&deployment, sqe.nsid, sqe.slba());
+        let Some(place) = place.filter(|_| sqe.slba() + blocks <= volume.size) else {
+            return self.respond(connection, sqe.cid, status::LBA_RANGE | status::DNR, 0, &[]);
+        };
         // One transaction is one node's: a transfer over two extents is the host's to split.
-        if deployment.place(volume, last).0 != extent || length > quaypath_nvme::MAX_DATA {
+        if blocks > place.left || length > quaypath_nvme::MAX_DATA {
             return self.respond(connection, sqe.cid, refuse, 0, &[]);
         }
-        let read = if writes { 0 } else { length };
+        let (extent, block) = (place.extent, place.block);
+        let read = if sqe.opcode == opcode::READ { length } else { 0 };
         let held = front.asked + read + front.machine.out.len() > MOST_HELD;
         if held || self.open.len() >= deployment.listen.open {
             self.counts.turned_away += 1;
@@ -751,6 +793,33 @@
         self.events.push_back(Happened::Taken(id));
     }
 
+    /// A command of a client's admin queue.
+    fn admin(&mut self, connection: u64, sqe: &Sqe) {
+        let deployment = self.deployment.clone();
+        let face = Face { deployment: &deployment };
+        match self.associations.command(self.now, connection, sqe, &face) {
+            Some(Do::Respond(cqe, data)) => self.respond_with(connection, cqe, &data),
+            Some(Do::Disconnect(cqe)) => self.respond_with(connection, cqe, &[]),
+            Some(Do::Hold) | None => {}
+            Some(Do::Abort { cid, queue, command }) => {
+                let named = self.associations.beside(connection, queue);
+                let found = named.and_then(|at| self.fronts.get(&at)?.open.get(&command).map(|id| (at, *id)));
+                if queue == 0 {
+                    self.respond(connection, command, status::ABORTED_BY_REQUEST, 0, &[]);
+                } else if let Some((at, id)) = found {
+                    self.respond(at, command, status::ABORTED_BY_REQUEST, 0, &[]);
+                    self.lapse(id);
+                }
+                // Bit 0 tells that the command was not aborted.
+                let dw0 = u32::from(queue != 0 && found.is_none());
+                self.respond(connection, cid, status::SUCCESS, dw0, &[]);
+            }
+        }
+        while let Some(cqe) = self.associations.due(connection) {
+            self.respond_with(connection, cqe, &[]);
+        }
+    }
+
     /// The final answer. True where one was still owed.
     fn answer(&mut self, id: u64, status: u16, dw0: u32, data: &[u8]) -> bool {
         let Some(t) = self.open.get_mut(&id) else { return false };
@@ -790,6 +859,9 @@
         let mut left: Vec<u64> = front.open.into_values().collect();
         left.sort_unstable();
         left.into_iter().for_each(|id| self.lapse(id));
+        for other in self.associations.ended(connection) {
+            self.front_closed(other);
+        }
     }
 
     // Shots.
@@ -808,8 +880,12 @@
         }
         self.timers.set(stop_at, Timer::Stop(id, number));
         let known = self.nodes.entry(node.clone()).or_default();
-        match known.link {
-            Link::Up(io, _) => self.submit(io, id, number),
+        match &known.link {
+            Link::Up(ios, _) => {
+                let ios = ios.clone();
+                let io = self.queue_for(&ios);
+                self.submit(io, id, number);
+            }
             Link::Opening => known.waiting.push_back((id, number)),
             Link::Closed => {
                 known.waiting.push_back((id, number));
@@ -827,6 +903,16 @@
         executor.spawn(net::open_link(self.me.clone(), name)).detach();
     }
 
+    /// The queue that a shot takes: of those with room, the one with the fewest commands. Which node it goes to and
+    /// whether it goes at all is the core's; this is only which of the node's connections carries it.
+    fn queue_for(&self, ios: &[u64]) -> u64 {
+        let load = |io: &u64| {
+            let back = self.backs.get(io)?;
+            Some((!back.machine.has_room(), back.machine.live(), *io))
+        };
+        ios.iter().filter_map(load).min().map_or(ios[0], |(_, _, io)| io)
+    }
+
     /// Puts a shot into a connection's queue; a full queue is retired and the shot waits for a fresh one.
     fn submit(&mut self, connection: u64, id: u64, number: u32) {
         let (Some(t), Some(back)) = (self.open.get_mut(&id), self.backs.get_mut(&connection)) else { return };
@@ -846,7 +932,11 @@
             }
             None => {
                 let node = back.node.clone();
-                back.retired = true;
+                if let Some(Link::Up(ios, _)) = self.nodes.get(&node).map(|node| &node.link) {
+                    for io in ios.clone() {
+                        self.backs.get_mut(&io).into_iter().for_each(|back| back.retired = true);
+                    }
+                }
                 self.nodes.entry(node.clone()).or_default().waiting.push_back((id, number));
                 self.open_link(node);
             }
@@ -882,25 +972,23 @@
 
     /// Asks the node to stop work that nobody waits for, on the association's admin queue.
     fn abort(&mut self, node: &NodeId, connection: u64, cid: u16) {
-        let Some(Link::Up(io, admin)) = self.nodes.get(node).map(|node| &node.link) else { return };
-        if *io != connection {
+        let Some(Link::Up(ios, admin)) = self.nodes.get(node).map(|node| &node.link) else { return };
+        if !ios.contains(&connection) {
             return;
         }
-        let admin = *admin;
+        let (admin, number) = (*admin, self.backs[&connection].number);
         let Some(back) = self.backs.get_mut(&admin) else { return };
-        if let Some((_, bytes)) = back.machine.submit(Sqe::abort(1, cid), Vec::new(), 0) {
+        if let Some((_, bytes)) = back.machine.submit(Sqe::abort(number, cid), Vec::new(), 0) {
             back.machine.out.extend(bytes);
             self.dirty.push(admin);
         }
     }
 
-    pub fn link_opened(
-        &mut self, name: &NodeId, io: (Host, Rc<Async<TcpStream>>), admin: (Host, Rc<Async<TcpStream>>),
-    ) -> (u64, u64) {
-        let mut ids = [0; 2];
-        for (at, (machine, stream)) in [io, admin].into_iter().enumerate() {
-            ids[at] = self.next_connection;
-            self.next_connection += 1;
+    /// An association is there: its admin queue first, then its I/O queues. Gives the connections' numbers.
+    pub fn link_opened(&mut self, name: &NodeId, queues: Vec<(Host, Rc<Async<TcpStream>>)>) -> Vec<u64> {
+        let mut ids = Vec::new();
+        for (number, (machine, stream)) in (0..).zip(queues) {
+            ids.push(self.next_connection);
             let back = Back {
                 node: name.clone(),
                 stream,
@@ -914,14 +1002,21 @@
                 used_at: self.now,
                 blocked: false,
                 retired: false,
+                number,
+                keeping: None,
+                kept_at: self.now,
             };
-            self.backs.insert(ids[at], back);
+            self.backs.insert(self.next_connection, back);
+            self.next_connection += 1;
         }
         let node = self.nodes.entry(name.clone()).or_default();
-        node.link = Link::Up(ids[0], ids[1]);
+        node.link = Link::Up(ids[1..].to_vec(), ids[0]);
         let waiting: Vec<_> = node.waiting.drain(..).collect();
-        waiting.into_iter().for_each(|(id, number)| self.submit(ids[0], id, number));
-        (ids[0], ids[1])
+        for (id, number) in waiting {
+            let io = self.queue_for(&ids[1..]);
+            self.submit(io, id, number);
+        }
+        ids
     }
 
     pub fn link_failed(&mut self, name: &NodeId, why: &str) {
@@ -966,14 +1061,19 @@
 
     fn back_done(&mut self, connection: u64, cid: u16, cqe: Cqe, data: Vec<u8>) {
         let Some(back) = self.backs.get_mut(&connection) else { return };
+        if back.keeping == Some(cid) {
+            back.keeping = None;
+            return;
+        }
         // Answers to our Aborts, on the admin queue, decide nothing.
         let Some((id, number)) = back.shots.remove(&cid) else { return };
         let told = Told::of(&cqe);
-        if status::code(cqe.status) == status::SUCCESS {
+        if outcome(Ended::Answered(cqe.status), Progress::Out) == Outcome::Settled {
             // The client's answer; the core is told in the same turn that the transaction is over.
             let owed = self.open.get(&id).is_some_and(|t| t.client.is_some());
             if owed {
-                self.settle(id, &data);
+                self.counts.settled += 1;
+                self.answer(id, cqe.status, 0, &data);
             }
         }
         if let Some(shot) = self.open.get_mut(&id).and_then(|t| t.shot.as_mut()) {
@@ -982,21 +1082,17 @@
         self.end_shot(id, number, Ended::Answered(cqe.status), told);
     }
 
-    fn settle(&mut self, id: u64, data: &[u8]) {
-        self.counts.settled += 1;
-        self.answer(id, status::SUCCESS, 0, data);
-    }
-
     pub fn back_closed(&mut self, connection: u64) {
         let Some(back) = self.backs.remove(&connection) else { return };
         let _ = back.stream.get_ref().shutdown(std::net::Shutdown::Both);
         let mut lost: Vec<(u64, u32)> = back.shots.into_values().collect();
         lost.sort_unstable();
         let node = self.nodes.get_mut(&back.node);
-        let peer = node.and_then(|node| match node.link {
-            Link::Up(io, admin) if io == connection || admin == connection => {
+        let peers = node.and_then(|node| match &node.link {
+            Link::Up(ios, admin) if ios.contains(&connection) || *admin == connection => {
+                let peers: Vec<u64> = ios.iter().chain([admin]).copied().collect();
                 node.link = Link::Closed;
-                Some(if io == connection { admin } else { io })
+                Some(peers)
             }
             _ => None,
         });
@@ -1006,15 +1102,18 @@
             }
             self.end_shot(id, number, Ended::Lost, Told::default());
         }
-        // Both queues of an association live and die together.
-        peer.into_iter().for_each(|peer| self.back_closed(peer));
+        // The queues of an association live and die together.
+        peers.into_iter().flatten().for_each(|peer| self.back_closed(peer));
     }
 
     fn close_idle(&mut self, node: &NodeId) {
-        let Some(Link::Up(io, _)) = self.nodes.get(node).map(|node| &node.link) else { return };
-        let io = *io;
-        if self.backs.get(&io).is_some_and(|back| back.machine.live() == 0 && back.queue.is_empty()) {
-            self.back_closed(io);
+        let Some(Link::Up(ios, admin)) = self.nodes.get(node).map(|node| &node.link) else { return };
+        let idle = |io: &u64| {
+            self.backs.get(io).is_none_or(|back| back.machine.live() == 0 && back.queue.is_empty())
+        };
+        if ios.iter().all(idle) {
+            let admin = *admin;
+            self.back_closed(admin);
         }
     }
 
@@ -1155,6 +1254,42 @@
     }
 }
 
+/// What this gateway shows its clients: volumes as namespaces, all of one group.
+struct Face<'a> {
+    deployment: &'a Deployment,
+}
+
+/// Name of the gateway as a subsystem.
+pub const SUBSYSTEM: &str = "nqn.2026-12.example.quaypath:gateway";
+
+impl View for Face<'_> {
+    fn kind(&self) -> Kind {
+        Kind::Io
+    }
+    fn subsystem(&self) -> &str {
+        SUBSYSTEM
+    }
+    fn namespaces(&self, after: u32) -> Vec<(u32, u64)> {
+        let above = self.deployment.volumes.range(after.saturating_add(1)..);
+        above.take(1024).map(|(id, volume)| (*id, volume.size)).collect()
+    }
+    fn blocks(&self, nsid: u32) -> Option<u64> {
+        self.deployment.volumes.get(&nsid).map(|volume| volume.size)
+    }
+    fn groups(&self) -> Vec<Group> {
+        vec![(1, quaypath_nvme::admin::ana::OPTIMIZED, self.deployment.volumes.keys().copied().collect())]
+    }
+    fn changes(&self) -> u64 {
+        1
+    }
+    fn discovery(&self) -> Vec<Record> {
+        Vec::new()
+    }
+    fn retry_delays(&self) -> [f64; 3] {
+        [self.deployment.core.longest_return, 0.0, 0.0]
+    }
+}
+
 /// Writes `out` from `sent` on; true when all is out.
 fn write_out(mut stream: &TcpStream, out: &mut Vec<u8>, sent: &mut usize) -> io::Result<bool> {
     while *sent < out.len() {
--- a/crates/initiator/src/lib.rs
+++ b/crates/initiator/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`instance`], through the one table of [`outcome`]; what the core asks for is carried out there too.
 
 pub mod core;
+pub mod index;
 pub mod instance;
 pub mod list;
 pub mod net;
--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -17,13 +17,15 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::future::{self, yield_now};
+use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use quaypath::types::NodeId;
-use quaypath_nvme::command::ANY_CONTROLLER;
-use quaypath_nvme::host::{Event, Host};
+use quaypath_nvme::command::{Cqe, Sqe, ANY_CONTROLLER};
+use quaypath_nvme::enable::Enable;
+use quaypath_nvme::host::{Event, Host, Offer};
+use quaypath_nvme::pdu::Format;
 use quaypath_nvme::QUEUE_SIZE;
-use quaypath_settings::Deployment;
+use quaypath_settings::{Deployment, Digests};
 use tracing::{debug, info, warn};
 
 use crate::instance::{Counts, Instance};
@@ -258,65 +260,158 @@
     }
 }
 
-/// Opens an association at a node: admin queue, then one I/O queue, both within the connect time-out.
+/// Opens an association at a node: admin queue, enable, then the I/O queues, all within the connect time-out.
 pub async fn open_link(instance: Weak<RefCell<Instance>>, node: NodeId) {
     let Some(this) = instance.upgrade() else { return };
-    let (host, wait) = {
+    let (host, waits) = {
         let this = this.borrow();
-        (this.name.clone(), this.deployment.connections.connect)
+        (this.name.clone(), this.deployment.connections.clone())
     };
     drop(this);
     let opening = async {
         let address: SocketAddr = node.0.parse().map_err(|_| io::Error::other("not an address"))?;
-        let (admin, controller) = open_queue(address, 0, ANY_CONTROLLER, &host).await?;
-        let (io, _) = open_queue(address, 1, controller, &host).await?;
-        Ok((io, admin))
+        let subsystem = format!("nqn.2026-12.example.quaypath:node:{address}");
+        let offer = offer(&waits);
+        let (admin, enable) = open_admin(address, &subsystem, &host, offer, waits.queues, false).await?;
+        let mut queues = vec![admin];
+        for number in 1..=enable.queues.clamp(1, waits.queues) {
+            queues.push(open_queue(address, number, enable.controller, &subsystem, &host, offer).await?);
+        }
+        Ok(queues)
     };
     let late = async {
-        Timer::after(Duration::from_secs_f64(wait)).await;
+        Timer::after(Duration::from_secs_f64(waits.connect)).await;
         Err(io::Error::from(io::ErrorKind::TimedOut))
     };
-    let opened: io::Result<_> = opening.or(late).await;
+    let opened: io::Result<Vec<Queue>> = opening.or(late).await;
     let Some(this) = instance.upgrade() else { return };
     match opened {
-        Ok((io, admin)) => {
-            let streams = (io.1.clone(), admin.1.clone());
-            let ids = turn(&this, |this| this.link_opened(&node, io, admin));
+        Ok(queues) => {
+            let streams: Vec<_> = queues.iter().map(|(_, stream)| stream.clone()).collect();
+            let ids = turn(&this, |this| this.link_opened(&node, queues));
+            let executor = this.borrow().executor();
             let weak = Rc::downgrade(&this);
             drop(this);
-            let one = read_back(weak.clone(), ids.0, streams.0);
-            let other = read_back(weak, ids.1, streams.1);
-            future::zip(one, other).await;
+            if let Some(executor) = executor {
+                for (id, stream) in ids.into_iter().zip(streams) {
+                    executor.spawn(read_back(weak.clone(), id, stream)).detach();
+                }
+            }
         }
         Err(error) => turn(&this, |this| this.link_failed(&node, &error.to_string())),
     }
 }
 
-type Opened = ((Host, Rc<Async<TcpStream>>), u16);
+/// What this end offers a node, by the settings.
+fn offer(waits: &quaypath_settings::Connections) -> Offer {
+    let (header_digest, data_digest) = match waits.digests {
+        Digests::None => (false, false),
+        Digests::Header => (true, false),
+        Digests::Data => (false, true),
+        Digests::Both => (true, true),
+    };
+    let format = Format { header_digest, data_digest, align: 0 };
+    // Asked for by the operators, so a node that does not take them is not used.
+    Offer { format, insist: true, keep_alive_ms: (waits.keep_alive * 1e3) as u32 }
+}
 
-async fn open_queue(address: SocketAddr, queue: u16, controller: u16, host: &str) -> io::Result<Opened> {
-    let stream = Async::<TcpStream>::connect(address).await?;
-    stream.get_ref().set_nodelay(true)?;
-    let subsystem = format!("nqn.2026-12.example.quaypath:node:{address}");
-    let mut machine = Host::start(queue, QUEUE_SIZE, controller, &subsystem, host);
-    let mut buffer = [0; 4096];
+/// One queue and its socket.
+pub type Queue = (Host, Rc<Async<TcpStream>>);
+
+/// Feeds a queue's machine from its socket until `take` has what it wants.
+async fn converse<R>(
+    machine: &mut Host, stream: &Async<TcpStream>,
+    mut take: impl FnMut(&mut Host, Event) -> io::Result<Option<R>>,
+) -> io::Result<R> {
+    let mut buffer = vec![0; 16 << 10];
+    let mut writer = stream;
     loop {
         let out = std::mem::take(&mut machine.out);
-        (&stream).write_all(&out).await?;
-        let count = read(&stream, &mut buffer).await?;
+        writer.write_all(&out).await?;
+        let count = read(stream, &mut buffer).await?;
         if count == 0 {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         let mut events = Vec::new();
         machine.feed(&buffer[..count], &mut events).map_err(io::Error::other)?;
-        match events.pop() {
-            None => {}
-            Some(Event::Ready { controller }) => return Ok(((machine, Rc::new(stream)), controller)),
-            Some(event) => return Err(io::Error::other(format!("{event:?}"))),
+        // All that came is looked at: an event may stand right behind the answer.
+        let mut result = None;
+        for event in events {
+            if let Some(done) = take(machine, event)? {
+                result.get_or_insert(done);
+            }
+        }
+        if let Some(done) = result {
+            let out = std::mem::take(&mut machine.out);
+            writer.write_all(&out).await?;
+            return Ok(done);
         }
     }
 }
 
+/// Connects and enables an admin queue; wants this many I/O queues, and events or not.
+pub async fn open_admin(
+    address: SocketAddr, subsystem: &str, host: &str, offer: Offer, queues: u16, events: bool,
+) -> io::Result<(Queue, Enable)> {
+    let stream = Async::<TcpStream>::connect(address).await?;
+    stream.get_ref().set_nodelay(true)?;
+    let mut machine = Host::start_with(0, QUEUE_SIZE, ANY_CONTROLLER, subsystem, host, offer);
+    let mut enable = Enable::new(queues, events);
+    converse(&mut machine, &stream, |machine, event| {
+        let done = enable.take(machine, event).map_err(io::Error::other)?;
+        Ok(done.then_some(()))
+    })
+    .await?;
+    Ok(((machine, Rc::new(stream)), enable))
+}
+
+/// Connects an I/O queue of an association.
+pub async fn open_queue(
+    address: SocketAddr, number: u16, controller: u16, subsystem: &str, host: &str, offer: Offer,
+) -> io::Result<Queue> {
+    let stream = Async::<TcpStream>::connect(address).await?;
+    stream.get_ref().set_nodelay(true)?;
+    let mut machine = Host::start_with(number, QUEUE_SIZE, controller, subsystem, host, offer);
+    converse(&mut machine, &stream, |_, event| match event {
+        Event::Ready { .. } => Ok(Some(())),
+        event => Err(io::Error::other(format!("{event:?}"))),
+    })
+    .await?;
+    Ok((machine, Rc::new(stream)))
+}
+
+/// One command and its answer, on a queue that nothing else uses. Completions of event requests that come meanwhile
+/// go into `events`.
+pub async fn ask(
+    queue: &mut Queue, sqe: Sqe, data: Vec<u8>, expected: usize, events: &mut Vec<Cqe>,
+) -> io::Result<(Cqe, Vec<u8>)> {
+    let (machine, stream) = queue;
+    let asked = machine.submit(sqe, data, expected);
+    let (asked, bytes) = asked.ok_or_else(|| io::Error::other("the queue is full"))?;
+    machine.out.extend(bytes);
+    converse(machine, stream, |_, event| match event {
+        Event::Done { cid, cqe, data } if cid == asked => Ok(Some((cqe, data))),
+        Event::Done { cqe, .. } => {
+            events.push(cqe);
+            Ok(None)
+        }
+        Event::Terminated { status, .. } => Err(io::Error::other(format!("ended with fatal error {status}"))),
+        _ => Ok(None),
+    })
+    .await
+}
+
+/// Waits for the completion of an event request.
+pub async fn event(queue: &mut Queue) -> io::Result<Cqe> {
+    let (machine, stream) = queue;
+    converse(machine, stream, |_, event| match event {
+        Event::Done { cqe, .. } => Ok(Some(cqe)),
+        Event::Terminated { status, .. } => Err(io::Error::other(format!("ended with fatal error {status}"))),
+        _ => Ok(None),
+    })
+    .await
+}
+
 /// Reads one line, bounded; none where the peer closed.
 pub async fn read_line(
     stream: &Async<TcpStream>, held: &mut Vec<u8>, longest: usize,
--- a/crates/initiator/src/outcome.rs
+++ b/crates/initiator/src/outcome.rs
@@ -68,6 +68,8 @@
 fn answered(status: u16) -> Outcome {
     match status::code(status) {
         status::SUCCESS => Outcome::Settled,
+        // A Compare that ran and found a difference: its answer, not a failure.
+        status::COMPARE_FAILURE => Outcome::Settled,
         // Our targets' word for turned away unseen; a vendor's code, so no other target says it by chance.
         status::FULL | status::DRAINING => Outcome::Full,
         // Command Interrupted and Namespace Not Ready promise by the Base Specification that nothing was done
@@ -97,6 +99,8 @@
     #[test_case(Ended::CalledOff, Opening, Outcome::Moot; "called off unsent")]
     #[test_case(Ended::CalledOff, Out, Outcome::Cancelled; "called off")]
     #[test_case(Ended::Answered(status::SUCCESS), Out, Outcome::Settled; "settled")]
+    #[test_case(Ended::Answered(status::COMPARE_FAILURE), Out, Outcome::Settled; "a comparison that found a difference")]
+    #[test_case(Ended::Answered(status::TRANSPORT_ERROR), Out, Outcome::Failed; "data spoilt on the way")]
     #[test_case(Ended::Answered(status::FULL), Out, Outcome::Full; "full")]
     #[test_case(Ended::Answered(status::DRAINING | status::CRD1), Out, Outcome::Full; "draining, with a delay")]
     #[test_case(Ended::Answered(status::INTERRUPTED), Out, Outcome::Full; "interrupted")]
--- a/crates/nvme/src/admin.rs
+++ b/crates/nvme/src/admin.rs
@@ -106,6 +106,9 @@
     Discovery = 2,
 }
 
+/// An ANA group: id, state, namespaces.
+pub type Group = (u32, u8, Vec<u32>);
+
 /// What a controller stands for.
 pub trait View {
     fn kind(&self) -> Kind;
@@ -113,8 +116,7 @@
     /// Active namespaces above `after`, ascending, 1024 at most, with their sizes in logical blocks.
     fn namespaces(&self, after: u32) -> Vec<(u32, u64)>;
     fn blocks(&self, nsid: u32) -> Option<u64>;
-    /// ANA groups: id, state, namespaces.
-    fn groups(&self) -> Vec<(u32, u8, Vec<u32>)>;
+    fn groups(&self) -> Vec<Group>;
     /// Change count of ANA, and of the discovery log.
     fn changes(&self) -> u64;
     /// The discovery log's records.
@@ -472,7 +474,7 @@
         if !discovery {
             data[342] = 10;
             // Optimized, inaccessible, persistent loss are told.
-            data[343] = 1 << 0 | 1 << 2 | 1 << 3;
+            data[343] = 1 | 1 << 2 | 1 << 3;
             let groups = view.groups();
             let most = groups.iter().map(|(id, ..)| *id).max().unwrap_or(1);
             put(data, 344, &most.to_le_bytes());
@@ -481,7 +483,7 @@
             let last = u32::MAX - 1;
             put(data, 516, &last.to_le_bytes());
             // Compare and Write Zeroes.
-            put(data, 520, &(1u16 << 0 | 1 << 3).to_le_bytes());
+            put(data, 520, &(1u16 | 1 << 3).to_le_bytes());
         }
         put(data, 514, &QUEUE_SIZE.to_le_bytes());
         // SGLs, offsets in capsules, the transport's data block.
@@ -643,7 +645,7 @@
 }
 
 /// The ANA log page: change count, then each group's state and namespaces.
-pub fn access_log(changes: u64, groups: &[(u32, u8, Vec<u32>)]) -> Vec<u8> {
+pub fn access_log(changes: u64, groups: &[Group]) -> Vec<u8> {
     let mut data = vec![0; 16];
     put(&mut data, 0, &changes.to_le_bytes());
     put(&mut data, 8, &(groups.len() as u16).to_le_bytes());
@@ -660,7 +662,7 @@
 }
 
 /// Change count and the groups of an ANA log page; none where it ends early.
-pub fn access_groups(data: &[u8]) -> Option<(u64, Vec<(u32, u8, Vec<u32>)>)> {
+pub fn access_groups(data: &[u8]) -> Option<(u64, Vec<Group>)> {
     let (changes, count) = (u64_at(data.get(..16)?, 0), u16_at(data, 8));
     let (mut groups, mut at) = (Vec::new(), 16);
     for _ in 0..count {
--- a/crates/programs/benches/gateway.rs
+++ b/crates/programs/benches/gateway.rs
@@ -11,6 +11,7 @@
 
 use hdrhistogram::Histogram;
 use quaypath_nvme::command::{opcode, Marks, Sqe, ANY_CONTROLLER};
+use quaypath_nvme::enable::Enable;
 use quaypath_nvme::host::{Event, Host, State};
 use quaypath_nvme::QUEUE_SIZE;
 
@@ -70,13 +71,19 @@
         stream.set_nodelay(true).unwrap();
         let host = Host::start(number, QUEUE_SIZE, controller, "nqn.measure", "nqn.measure:0");
         let mut queue = Queue { stream, host, events: Vec::new() };
+        let mut enable = Enable::new(1, false);
         loop {
             let out = std::mem::take(&mut queue.host.out);
             queue.stream.write_all(&out).unwrap();
             queue.pull();
-            if let Some(Event::Ready { controller }) = queue.events.pop() {
-                assert_eq!(queue.host.state(), State::Ready);
-                return (queue, controller);
+            for event in std::mem::take(&mut queue.events) {
+                if number > 0 {
+                    assert!(matches!(event, Event::Ready { .. }) && queue.host.state() == State::Ready);
+                    return (queue, controller);
+                }
+                if enable.take(&mut queue.host, event).unwrap() {
+                    return (queue, enable.controller);
+                }
             }
         }
     }
--- a/crates/programs/src/bin/target.rs
+++ b/crates/programs/src/bin/target.rs
@@ -11,7 +11,7 @@
 use quaypath_rules::{Repeat, Scope};
 use quaypath_standins::model::Figures;
 use quaypath_standins::serve::Running;
-use quaypath_standins::target::{spawn, BandRule, Faults, Fleet, Options};
+use quaypath_standins::target::{spawn, BandRule, Faults, Fleet, Options, TAKES};
 
 /// A stand-in for a storage node: takes time for its work, keeps no data. Each line of standard input sets a fault:
 /// `slow TIMES`, `pause SECONDS`, `errors PART`, `lost PART`, `heavy PART`, `resets A_SECOND`, `late SECONDS`, or
@@ -136,6 +136,8 @@
         nominal: Arc::new(
             deployment.volumes.iter().map(|(id, one)| (*id, deployment.nominal[one.plan])).collect(),
         ),
+        volumes: Arc::new(deployment.volumes.iter().map(|(id, volume)| (*id, volume.size)).collect()),
+        takes: TAKES,
         fleet: Arc::<Fleet>::default(),
         spread: 0.4,
     };
--- a/crates/programs/tests/hard_cases.rs
+++ b/crates/programs/tests/hard_cases.rs
@@ -9,6 +9,7 @@
 use helper::*;
 use quaypath_initiator::list::EntryCondition::{Draining, Ready};
 use quaypath_nvme::command::{Cqe, Sqe};
+use quaypath_nvme::controller::Event as Asked;
 use quaypath_nvme::pdu::{Decoder, Pdu};
 use quaypath_nvme::status;
 use rustix::process::Signal;
@@ -52,6 +53,7 @@
             let mut decoder = Decoder::default();
             let mut buffer = [0; 2048];
             let (mut events, mut write) = (Vec::new(), false);
+            let mut admin = quaypath_nvme::admin::Admin::new(0.0, 1, 0);
             while let Ok(count @ 1..) = stream.read(&mut buffer) {
                 decoder.feed(&buffer[..count]);
                 let pdu = decoder.next_pdu().unwrap();
@@ -62,14 +64,15 @@
                 write |= is_write;
                 headers += usize::from(is_write);
                 machine.feed(&buffer[..count], &mut events).unwrap();
-                let connects = events
-                    .drain(..)
-                    .any(|event| matches!(event, quaypath_nvme::controller::Event::Connect { .. }));
-                if connects {
-                    machine.accept(1);
+                for event in events.drain(..) {
+                    match event {
+                        Asked::Connect { .. } => machine.accept(1),
+                        Asked::Command { sqe, .. } => answer_admin(&mut machine, &mut admin, &sqe),
+                        Asked::Terminated { .. } => {}
+                    }
                 }
                 stream.write_all(&std::mem::take(&mut machine.out)).unwrap();
-                if machine.queue() == 0 && machine.state() == quaypath_nvme::controller::State::Ready {
+                if machine.queue() == 0 && admin.queues() == 1 {
                     // The admin queue is only kept open.
                     let keep = stream.try_clone().unwrap();
                     std::thread::spawn(move || {
@@ -187,12 +190,21 @@
             let mut stream = stream.unwrap();
             let mut machine = quaypath_nvme::controller::Controller::default();
             let (mut buffer, mut events) = ([0; 2048], Vec::new());
-            while machine.state() != quaypath_nvme::controller::State::Ready {
+            let mut admin = quaypath_nvme::admin::Admin::new(0.0, 1, 0);
+            // The admin queue until it has agreed on one I/O queue, that one until it is connected.
+            let ready = |machine: &quaypath_nvme::controller::Controller, queues| {
+                machine.state() == quaypath_nvme::controller::State::Ready
+                    && (machine.queue() > 0 || queues == 1)
+            };
+            while !ready(&machine, admin.queues()) {
                 let count = stream.read(&mut buffer).unwrap();
                 machine.feed(&buffer[..count], &mut events).unwrap();
-                if !events.is_empty() {
-                    events.clear();
-                    machine.accept(1);
+                for event in events.drain(..) {
+                    match event {
+                        Asked::Connect { .. } => machine.accept(1),
+                        Asked::Command { sqe, .. } => answer_admin(&mut machine, &mut admin, &sqe),
+                        Asked::Terminated { .. } => {}
+                    }
                 }
                 stream.write_all(&std::mem::take(&mut machine.out)).unwrap();
             }
--- a/crates/programs/tests/helper/mod.rs
+++ b/crates/programs/tests/helper/mod.rs
@@ -10,8 +10,10 @@
 use std::time::{Duration, Instant};
 
 use quaypath_initiator::list::EntryCondition;
+use quaypath_nvme::admin::{Admin, Do as Reply, Group, Kind, Record, View};
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, ANY_CONTROLLER};
 use quaypath_nvme::controller::{Controller, Event as Asked};
+use quaypath_nvme::enable::Enable;
 use quaypath_nvme::host::{Event, Host, State};
 use quaypath_nvme::{status, QUEUE_SIZE};
 use quaypath_record::{Clock, Writer};
@@ -182,13 +184,20 @@
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         let host = Host::start(number, QUEUE_SIZE, controller, "nqn.test:gateway", "nqn.test:client:0");
         let mut queue = Queue { stream, host, events: Vec::new() };
+        let mut enable = Enable::new(1, false);
         loop {
             let out = std::mem::take(&mut queue.host.out);
             queue.stream.write_all(&out).unwrap();
             assert!(queue.pull(), "closed while connecting");
-            if let Some(Event::Ready { controller }) = queue.events.pop() {
-                assert_eq!(queue.host.state(), State::Ready);
-                return (queue, controller);
+            for event in std::mem::take(&mut queue.events) {
+                if number > 0 {
+                    assert!(matches!(event, Event::Ready { .. }), "{event:?}");
+                    assert_eq!(queue.host.state(), State::Ready);
+                    return (queue, controller);
+                }
+                if enable.take(&mut queue.host, event).unwrap() {
+                    return (queue, enable.controller);
+                }
             }
         }
     }
@@ -307,6 +316,7 @@
     stream.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
     let (mut machine, mut buffer) = (Controller::default(), [0; 65536]);
     let mut held: Vec<(u64, u16)> = Vec::new();
+    let mut admin = Admin::new(0.0, 1, 0);
     loop {
         let count = match stream.read(&mut buffer) {
             Ok(0) => return,
@@ -322,7 +332,7 @@
             match event {
                 Asked::Connect { .. } => machine.accept(1),
                 Asked::Command { sqe, .. } if machine.queue() == 0 => {
-                    machine.respond(Cqe { cid: sqe.cid, ..Cqe::default() }, &[]);
+                    answer_admin(&mut machine, &mut admin, &sqe)
                 }
                 Asked::Command { sqe, .. } => {
                     let marks = Marks::of(&sqe);
@@ -366,3 +376,43 @@
         std::thread::sleep(Duration::from_millis(2));
     }
 }
+
+/// What scripted targets show: nothing in particular.
+struct Plain;
+
+impl View for Plain {
+    fn kind(&self) -> Kind {
+        Kind::Io
+    }
+    fn subsystem(&self) -> &str {
+        "nqn.test:peer"
+    }
+    fn namespaces(&self, _after: u32) -> Vec<(u32, u64)> {
+        Vec::new()
+    }
+    fn blocks(&self, _nsid: u32) -> Option<u64> {
+        None
+    }
+    fn groups(&self) -> Vec<Group> {
+        Vec::new()
+    }
+    fn changes(&self) -> u64 {
+        1
+    }
+    fn discovery(&self) -> Vec<Record> {
+        Vec::new()
+    }
+    fn retry_delays(&self) -> [f64; 3] {
+        [0.0; 3]
+    }
+}
+
+/// Answers a command of the admin queue as any target does; an Abort with success, whatever became of it.
+pub fn answer_admin(machine: &mut Controller, admin: &mut Admin, sqe: &Sqe) {
+    match admin.command(0.0, sqe, &Plain) {
+        Reply::Respond(cqe, data) => machine.respond(cqe, &data),
+        Reply::Disconnect(cqe) => machine.respond(cqe, &[]),
+        Reply::Abort { cid, .. } => machine.respond(Cqe { cid, ..Cqe::default() }, &[]),
+        Reply::Hold => {}
+    }
+}
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -49,6 +49,55 @@
     /// How long a peer may leave a PDU unfinished.
     #[serde(rename = "@half-pdu")]
     pub half_pdu: f64,
+    /// Keep alive time-out towards nodes and the register; 0: none.
+    #[serde(rename = "@keep-alive", default)]
+    pub keep_alive: f64,
+    /// I/O queues of one association with a node.
+    #[serde(rename = "@queues", default = "one")]
+    pub queues: u16,
+    /// Digests asked of nodes.
+    #[serde(rename = "@digests", default)]
+    pub digests: Digests,
+}
+
+fn one() -> u16 {
+    1
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Digests {
+    #[default]
+    None,
+    Header,
+    Data,
+    Both,
+}
+
+#[derive(Deserialize)]
+struct BandRuleForm {
+    #[serde(rename = "@band")]
+    band: String,
+    #[serde(rename = "@first")]
+    first: Option<u32>,
+    #[serde(rename = "@last")]
+    last: Option<u32>,
+    #[serde(rename = "@least")]
+    least: Option<u32>,
+    #[serde(rename = "@most")]
+    most: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct PlacementForm {
+    #[serde(rename = "@volume")]
+    volume: u32,
+    #[serde(rename = "@from")]
+    from: u64,
+    #[serde(rename = "@blocks")]
+    blocks: u64,
+    #[serde(rename = "@node")]
+    node: u32,
 }
 
 #[derive(Deserialize)]
@@ -170,6 +219,13 @@
     initiators: u32,
     #[serde(rename = "@nodes")]
     nodes: u32,
+    #[serde(rename = "@blocks", default = "blocks")]
+    blocks: u64,
+}
+
+/// Size of a volume where the file states none: 512 MiB.
+fn blocks() -> u64 {
+    1 << 20
 }
 
 #[derive(Deserialize)]
@@ -185,7 +241,11 @@
     layout: LayoutForm,
     band: Vec<BandForm>,
     plan: Vec<PlanForm>,
+    #[serde(rename = "band-rule", default)]
+    band_rule: Vec<BandRuleForm>,
     volumes: Vec<VolumesForm>,
+    #[serde(default)]
+    placement: Vec<PlacementForm>,
 }
 
 /// One volume: an NVMe namespace whose id is the volume's number.
@@ -195,6 +255,25 @@
     pub initiators: u32,
     /// Blocks (parts of the data, one node each) that its extents lie on, in turn.
     pub blocks: Vec<i64>,
+    /// Its size, logical blocks.
+    pub size: u64,
+}
+
+/// Which band a host's command is of that does not say: by namespaces and bytes, both ends included.
+#[derive(Clone, Debug)]
+pub struct BandRule {
+    pub band: usize,
+    pub volumes: (u32, u32),
+    pub bytes: (u32, u32),
+}
+
+/// A range of a volume that lies on a node of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placement {
+    pub volume: u32,
+    pub from: u64,
+    pub blocks: u64,
+    pub node: i64,
 }
 
 #[derive(Clone, Debug)]
@@ -221,9 +300,23 @@
     /// Logical blocks of one extent.
     pub extent_blocks: u64,
     pub volumes: BTreeMap<u32, Volume>,
+    pub band_rules: Vec<BandRule>,
+    /// By volume, then by range; none overlap.
+    pub placements: Vec<Placement>,
 }
 
 impl Deployment {
+    /// The band of a command that does not say: the first rule that fits, else the first band that reads or writes as
+    /// it does.
+    pub fn band_of(&self, volume: u32, bytes: u32, writes: bool) -> Option<usize> {
+        let inside = |(from, to): (u32, u32), value: u32| (from..=to).contains(&value);
+        let fits = |rule: &&BandRule| {
+            self.writes[rule.band] == writes && inside(rule.volumes, volume) && inside(rule.bytes, bytes)
+        };
+        let ruled = self.band_rules.iter().find(fits).map(|rule| rule.band);
+        ruled.or_else(|| self.writes.iter().position(|known| *known == writes))
+    }
+
     /// Extent of a volume that a logical block lies in, and the part of the data that holds it.
     pub fn place(&self, volume: &Volume, slba: u64) -> (u64, i64) {
         let extent = slba / self.extent_blocks;
@@ -325,6 +418,42 @@
     Ok(())
 }
 
+/// Checked ranges, by volume and start.
+fn placements(form: &Form, volumes: &BTreeMap<u32, Volume>) -> Result<Vec<Placement>, Bad> {
+    let mut all = Vec::new();
+    for one in &form.placement {
+        let at = format!("placement of volume {} from {}", one.volume, one.from);
+        let Some(volume) = volumes.get(&one.volume) else {
+            return bad(at, format!("volume {}", one.volume), "a volume of this file");
+        };
+        if one.node >= form.layout.nodes {
+            return bad(
+                at,
+                format!("node {}", one.node),
+                format!("below the layout's {}", form.layout.nodes),
+            );
+        }
+        let end = one.from.checked_add(one.blocks).filter(|end| one.blocks > 0 && *end <= volume.size);
+        if end.is_none() {
+            return bad(at, format!("{} blocks", one.blocks), format!("within the volume's {}", volume.size));
+        }
+        all.push(Placement {
+            volume: one.volume,
+            from: one.from,
+            blocks: one.blocks,
+            node: i64::from(one.node),
+        });
+    }
+    all.sort_by_key(|one| (one.volume, one.from));
+    for pair in all.windows(2) {
+        if pair[0].volume == pair[1].volume && pair[0].from + pair[0].blocks > pair[1].from {
+            let at = format!("placement of volume {} from {}", pair[1].volume, pair[1].from);
+            return bad(at, "an overlap", "each block lies on one node");
+        }
+    }
+    Ok(all)
+}
+
 pub(crate) fn decode(form: Form) -> Result<Deployment, Bad> {
     unique("band", form.band.iter().map(|band| &band.name))?;
     unique("plan", form.plan.iter().map(|plan| &plan.name))?;
@@ -365,7 +494,10 @@
         for id in group.first..group.first.saturating_add(group.count) {
             let nodes = i64::from(form.layout.nodes);
             let blocks = (0..i64::from(group.nodes)).map(|step| (i64::from(id) * 7 + step) % nodes).collect();
-            if volumes.insert(id, Volume { plan, initiators: group.initiators, blocks }).is_some() {
+            if volumes
+                .insert(id, Volume { plan, initiators: group.initiators, blocks, size: group.blocks })
+                .is_some()
+            {
                 return bad(at, format!("volume {id} twice"), "each volume once");
             }
             let of = &form.plan[plan];
@@ -374,6 +506,23 @@
             }
         }
     }
+    let mut band_rules = Vec::new();
+    for rule in &form.band_rule {
+        let Some(band) = form.band.iter().position(|band| band.name == rule.band) else {
+            return bad("band-rule", format!("band '{}'", rule.band), "a band of this file");
+        };
+        let volumes = (rule.first.unwrap_or(1), rule.last.unwrap_or(u32::MAX));
+        let bytes = (rule.least.unwrap_or(0), rule.most.unwrap_or(u32::MAX));
+        if volumes.0 > volumes.1 || bytes.0 > bytes.1 {
+            return bad(
+                format!("band-rule {}", rule.band),
+                "an empty range",
+                "first up to last, least up to most",
+            );
+        }
+        band_rules.push(BandRule { band, volumes, bytes });
+    }
+    let placements = placements(&form, &volumes)?;
     let further = figures.further.as_ref().map(|form| (form.share, form.free, form.look_back));
     if let Some((.., look_back)) = further {
         positive("rules, further, look-back", look_back)?;
@@ -429,5 +578,7 @@
         zones: form.layout.zones,
         extent_blocks: form.layout.extent_blocks,
         volumes,
+        band_rules,
+        placements,
     })
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 pub use day::{Abuse, Day, Fault, FaultKind, Fleet, LeadChange, Leave, Surge, Traffic};
-pub use deployment::{Connections, Deployment, Listen, Mode, Register, Volume};
+pub use deployment::{BandRule, Connections, Deployment, Digests, Listen, Mode, Placement, Register, Volume};
 
 /// The schema, as shipped.
 pub const SCHEMA: &str = include_str!("quaypath.xsd");
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -11,11 +11,12 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use quaypath_initiator::net::Notify;
+use quaypath_initiator::instance::SUBSYSTEM;
+use quaypath_initiator::net::{open_admin, open_queue, Notify};
 use quaypath_initiator::wheel::Wheel;
-use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, ANY_CONTROLLER};
-use quaypath_nvme::host::{Event, Host};
-use quaypath_nvme::{status, QUEUE_SIZE};
+use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe};
+use quaypath_nvme::host::{Event, Host, Offer};
+use quaypath_nvme::status;
 use quaypath_record::{End, Event as Line, Writer};
 use quaypath_rules::Repeat;
 use rand::rngs::SmallRng;
@@ -161,51 +162,29 @@
 }
 
 async fn associate(state: &Shared, gateway: u32, address: SocketAddr) -> io::Result<()> {
-    let admin = queue(state, gateway, address, 0, ANY_CONTROLLER).await?;
-    let io = queue(state, gateway, address, 1, admin.1).await?;
-    let reading = |number: u16, stream: Rc<Async<TcpStream>>| {
-        let state = state.clone();
-        async move { read_all(&stream, |bytes| state.borrow_mut().read(gateway, number, bytes)).await }
-    };
-    reading(0, admin.0).or(reading(1, io.0)).await
-}
-
-async fn queue(
-    state: &Shared, gateway: u32, address: SocketAddr, number: u16, controller: u16,
-) -> io::Result<(Rc<Async<TcpStream>>, u16)> {
-    let connect = async { Async::<TcpStream>::connect(address).await };
-    let late = async {
-        Timer::after(Duration::from_secs(1)).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    let stream = Rc::new(connect.or(late).await?);
-    stream.get_ref().set_nodelay(true)?;
     let host = format!("nqn.2026-12.example.quaypath:client:{gateway}");
-    let subsystem = "nqn.2026-12.example.quaypath:gateway";
-    let mut machine = Host::start(number, QUEUE_SIZE, controller, subsystem, &host);
-    let mut given = None;
-    let mut output = Output::default();
-    output.add(&mut machine.out);
-    output.flush(stream.get_ref())?;
-    let handshake = read_all(&stream, |bytes| {
-        let mut events = Vec::new();
-        let fed = machine.feed(bytes, &mut events);
-        output.add(&mut machine.out);
-        let sent = output.flush(stream.get_ref());
-        if let Some(Event::Ready { controller }) = events.pop() {
-            given = Some(controller);
-        }
-        fed.is_ok() && sent.is_ok() && given.is_none()
-    });
+    let offer = Offer::default();
+    let opening = async {
+        let (admin, enable) = open_admin(address, SUBSYSTEM, &host, offer, 1, false).await?;
+        let io = open_queue(address, 1, enable.controller, SUBSYSTEM, &host, offer).await?;
+        Ok([admin, io])
+    };
     let late = async {
         Timer::after(Duration::from_secs(2)).await;
         Err(io::ErrorKind::TimedOut.into())
     };
-    handshake.or(late).await?;
-    let Some(controller) = given else { return Err(io::ErrorKind::ConnectionReset.into()) };
-    let queue = Queue { stream: stream.clone(), machine, output, asked: HashMap::new() };
-    state.borrow_mut().queues.insert((gateway, number), queue);
-    Ok((stream, controller))
+    let opened: io::Result<_> = opening.or(late).await;
+    let mut streams = Vec::new();
+    for (number, (machine, stream)) in (0..).zip(opened?) {
+        streams.push(stream.clone());
+        let queue = Queue { stream, machine, output: Output::default(), asked: HashMap::new() };
+        state.borrow_mut().queues.insert((gateway, number), queue);
+    }
+    let reading = |number: u16, stream: Rc<Async<TcpStream>>| {
+        let state = state.clone();
+        async move { read_all(&stream, |bytes| state.borrow_mut().read(gateway, number, bytes)).await }
+    };
+    reading(0, streams[0].clone()).or(reading(1, streams[1].clone())).await
 }
 
 async fn ask(state: Shared) {
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -12,9 +12,12 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use quaypath_initiator::net::Notify;
+use quaypath_nvme::admin::{ana, Do, Group, Kind, Record, View};
+use quaypath_nvme::association::Associations;
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, Told};
 use quaypath_nvme::controller::{Controller, Event};
-use quaypath_nvme::status;
+use quaypath_nvme::pdu::Format;
+use quaypath_nvme::{status, BLOCK_SIZE};
 use quaypath_record::{Event as Line, ShotEnd, Writer};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -23,6 +26,8 @@
 use crate::model::{Figures, Job, Node, Taken};
 use crate::serve::{read_all, Output, Running, Switch};
 
+/// What a target agrees to: any digests, data anywhere.
+pub const TAKES: Format = Format { header_digest: true, data_digest: true, align: 0 };
 /// Connections that a target accepts.
 const MOST_CONNECTIONS: usize = 1024;
 /// Output that a connection may owe before it is closed, bytes.
@@ -73,8 +78,15 @@
     tags: Mutex<HashMap<(String, u64), f64>>,
     /// Units of each volume in the present and the last finished period.
     meter: Mutex<HashMap<u32, (u64, f64, f64)>>,
+    /// What was written, by volume and page of eight blocks: a node that replaces another holds the same.
+    store: Mutex<HashMap<(u32, u64), Box<Page>>>,
 }
 
+const PAGE_BLOCKS: u64 = 8;
+type Page = [u8; PAGE_BLOCKS as usize * BLOCK_SIZE];
+/// Pages that a fleet keeps, 256 MiB; beyond them writes are refused.
+const MOST_PAGES: usize = 65536;
+
 impl Fleet {
     /// True where the operation is new to its group; remembered for `window` seconds.
     fn first(&self, now: f64, group: &str, operation: u64, window: f64) -> bool {
@@ -86,6 +98,45 @@
         known.is_none_or(|at| now - at >= window)
     }
 
+    /// Calls `act` with each part of a range: its page, where it starts there, and the range's bytes that it holds.
+    fn parts(slba: u64, length: usize, mut act: impl FnMut(u64, usize, std::ops::Range<usize>)) {
+        let mut at = 0;
+        while at < length {
+            let block = slba + (at / BLOCK_SIZE) as u64;
+            let start = (block % PAGE_BLOCKS) as usize * BLOCK_SIZE;
+            let count = (PAGE_BLOCKS as usize * BLOCK_SIZE - start).min(length - at);
+            act(block / PAGE_BLOCKS, start, at..at + count);
+            at += count;
+        }
+    }
+
+    /// Blocks never written are zeroes.
+    pub fn read(&self, volume: u32, slba: u64, length: usize) -> Vec<u8> {
+        let (store, mut data) = (self.store.lock().unwrap(), vec![0; length]);
+        Self::parts(slba, length, |page, start, range| {
+            if let Some(page) = store.get(&(volume, page)) {
+                let count = range.len();
+                data[range].copy_from_slice(&page[start..start + count]);
+            }
+        });
+        data
+    }
+
+    /// False where the store is full.
+    pub fn write(&self, volume: u32, slba: u64, data: &[u8]) -> bool {
+        let mut store = self.store.lock().unwrap();
+        if store.len() + data.len() / BLOCK_SIZE > MOST_PAGES {
+            return false;
+        }
+        Self::parts(slba, data.len(), |page, start, range| {
+            let page = store
+                .entry((volume, page))
+                .or_insert_with(|| Box::new([0; PAGE_BLOCKS as usize * BLOCK_SIZE]));
+            page[start..start + range.len()].copy_from_slice(&data[range]);
+        });
+        true
+    }
+
     /// Adds units and gives the last finished period's use, units a second; none before one is finished.
     fn meter(&self, now: f64, volume: u32, units: f64, period: f64) -> Option<f64> {
         let mut meter = self.meter.lock().unwrap();
@@ -119,6 +170,10 @@
     /// Period of the use figures, seconds, and nominal rate of each volume; 0: no meter.
     pub metering: f64,
     pub nominal: Arc<BTreeMap<u32, f64>>,
+    /// Volumes and their sizes in logical blocks.
+    pub volumes: Arc<BTreeMap<u32, u64>>,
+    /// Digests taken where they are offered, alignment asked for.
+    pub takes: Format,
     pub fleet: Arc<Fleet>,
     /// Spread of the work of equal transactions, as the sigma of a lognormal.
     pub spread: f64,
@@ -170,13 +225,13 @@
     sqe: Sqe,
     marks: Marks,
     gateway: u32,
+    data: Rc<Vec<u8>>,
 }
 
 struct Connection {
     stream: Rc<Async<TcpStream>>,
     machine: Controller,
     output: Output,
-    association: u16,
     gateway: u32,
     /// Jobs by command id.
     jobs: HashMap<u16, u64>,
@@ -191,7 +246,7 @@
     chance: SmallRng,
     connections: HashMap<u64, Connection>,
     next: u64,
-    association: u16,
+    associations: Associations,
     /// By gateway and volume: units served to others since the last answer.
     others: HashMap<(u32, u32), f64>,
     /// Figures as they were told, for late reports.
@@ -220,7 +275,7 @@
         options,
         connections: HashMap::new(),
         next: 1,
-        association: 1,
+        associations: Associations::new(MOST_CONNECTIONS),
         others: HashMap::new(),
         reports: Default::default(),
         pause_at: now,
@@ -249,9 +304,8 @@
         this.next += 1;
         let connection = Connection {
             stream: stream.clone(),
-            machine: Controller::default(),
+            machine: Controller::taking(this.options.takes),
             output: Output::default(),
-            association: 0,
             gateway: 0,
             jobs: HashMap::new(),
         };
@@ -324,17 +378,18 @@
         let mut good = fed.is_ok();
         for event in events {
             match event {
-                Event::Connect { queue, controller, host, .. } => {
-                    let association = if queue == 0 { self.association } else { controller };
-                    if queue == 0 {
-                        self.association = self.association % 0xfffe + 1;
-                    }
+                Event::Connect { queue, controller, host, keep_alive_ms, .. } => {
+                    let now = self.record.clock.now();
+                    let given =
+                        self.associations.connect(now, number, queue, controller, &host, keep_alive_ms);
                     let connection = self.connections.get_mut(&number).unwrap();
-                    connection.association = association;
                     connection.gateway = gateway_of(&host);
-                    connection.machine.accept(association);
+                    match given {
+                        Ok(controller) => connection.machine.accept(controller),
+                        Err(status) => connection.machine.refuse(status),
+                    }
                 }
-                Event::Command { sqe, .. } => self.command(number, sqe),
+                Event::Command { sqe, data } => self.command(number, sqe, data),
                 Event::Terminated { .. } => good = false,
             }
         }
@@ -345,21 +400,32 @@
         good
     }
 
-    fn command(&mut self, number: u64, sqe: Sqe) {
+    fn command(&mut self, number: u64, sqe: Sqe, data: Vec<u8>) {
         let now = self.now();
-        let connection = &self.connections[&number];
+        let Some(connection) = self.connections.get(&number) else { return };
         let gateway = connection.gateway;
         if connection.machine.queue() == 0 {
-            let status = if sqe.opcode == opcode::ABORT {
-                self.abort(number, sqe)
-            } else {
-                status::INVALID_OPCODE | status::DNR
-            };
-            return self.respond(number, Cqe { cid: sqe.cid, status, ..Cqe::default() }, 0);
+            return self.admin(number, &sqe);
+        }
+        self.associations.heard(now, number);
+        let refuse = |status: u16| Cqe { cid: sqe.cid, status: status | status::DNR, ..Cqe::default() };
+        if !matches!(
+            sqe.opcode,
+            opcode::READ | opcode::WRITE | opcode::WRITE_ZEROES | opcode::COMPARE | opcode::FLUSH
+        ) {
+            return self.respond(number, refuse(status::INVALID_OPCODE), &[]);
+        }
+        let Some(size) = self.options.volumes.get(&sqe.nsid) else {
+            return self.respond(number, refuse(status::INVALID_NAMESPACE), &[]);
+        };
+        let end = sqe.slba().checked_add((sqe.length() / BLOCK_SIZE) as u64);
+        if sqe.opcode != opcode::FLUSH && end.is_none_or(|end| end > *size) {
+            return self.respond(number, refuse(status::LBA_RANGE), &[]);
         }
         let marks = Marks::of(&sqe);
-        if !matches!(sqe.opcode, opcode::READ | opcode::WRITE) {
-            return self.respond(number, Cqe { cid: sqe.cid, ..Cqe::default() }, 0);
+        // A write is answered when it has taken effect, so there is nothing left to flush.
+        if sqe.opcode == opcode::FLUSH {
+            return self.respond(number, Cqe { cid: sqe.cid, ..Cqe::default() }, &[]);
         }
         let (shot, units) = (u32::from(marks.shot), u32::from(marks.units.max(1)));
         let (node, mark, volume) = (self.name.clone(), marks.mark, sqe.nsid);
@@ -369,16 +435,16 @@
         if faults.errors > 0.0 && self.chance.random::<f64>() < faults.errors {
             self.ended(gateway, &marks, ShotEnd::Failed);
             let cqe = Cqe { cid: sqe.cid, status: status::INTERNAL_ERROR, ..Cqe::default() };
-            return self.respond(number, cqe, 0);
+            return self.respond(number, cqe, &[]);
         }
         let noise = LogNormal::new(0.0, self.options.spread.max(0.0)).expect("a finite spread");
         let heavy = faults.heavy > 0.0 && self.chance.random::<f64>() < faults.heavy;
         let job = Job {
             units: f64::from(units),
             extent: u64::from(sqe.nsid) << 32 | u64::from(marks.key),
-            writes: sqe.opcode == opcode::WRITE,
+            writes: matches!(sqe.opcode, opcode::WRITE | opcode::WRITE_ZEROES),
             noise: noise.sample(&mut self.chance) * if heavy { 10.0 } else { 1.0 },
-            what: Shot { connection: number, sqe, marks, gateway },
+            what: Shot { connection: number, sqe, marks, gateway, data: Rc::new(data) },
         };
         match self.node.take(now, job) {
             (Taken::Held, job) => {
@@ -388,7 +454,7 @@
             (Taken::Full, _) => {
                 self.ended(gateway, &marks, ShotEnd::Refused);
                 let cqe = Cqe { cid: sqe.cid, status: status::FULL, ..Cqe::default() };
-                self.respond(number, cqe, 0);
+                self.respond(number, cqe, &[]);
             }
             (Taken::Fell, _) => {
                 self.record.put(Line::Fell { t: now, node: self.name.clone() });
@@ -405,15 +471,33 @@
         self.record.put(Line::Ended { t, node, gateway, mark, shot, end });
     }
 
-    fn abort(&mut self, number: u64, sqe: Sqe) -> u16 {
-        let (queue, cid) = sqe.aborts();
-        let association = self.connections[&number].association;
-        let found = self
-            .connections
-            .iter()
-            .find(|(_, other)| other.association == association && other.machine.queue() == queue);
-        let Some((other, job)) = found.and_then(|(at, other)| Some((*at, *other.jobs.get(&cid)?))) else {
-            return status::SUCCESS;
+    fn admin(&mut self, number: u64, sqe: &Sqe) {
+        let now = self.now();
+        let view = Face { options: &self.options, name: &self.name };
+        match self.associations.command(now, number, sqe, &view) {
+            Some(Do::Respond(cqe, data)) => self.respond(number, cqe, &data),
+            Some(Do::Disconnect(cqe)) => self.respond(number, cqe, &[]),
+            Some(Do::Hold) | None => {}
+            Some(Do::Abort { cid, queue, command }) => {
+                let aborted = self.abort(number, queue, command);
+                let dw0 = u32::from(!aborted);
+                self.respond(number, Cqe { cid, dw0, ..Cqe::default() }, &[]);
+            }
+        }
+        while let Some(cqe) = self.associations.due(number) {
+            self.respond(number, cqe, &[]);
+        }
+    }
+
+    fn abort(&mut self, number: u64, queue: u16, cid: u16) -> bool {
+        if queue == 0 {
+            self.respond(number, Cqe { cid, status: status::ABORTED_BY_REQUEST, ..Cqe::default() }, &[]);
+            return true;
+        }
+        let found = self.associations.beside(number, queue);
+        let Some((other, job)) = found.and_then(|at| Some((at, *self.connections.get(&at)?.jobs.get(&cid)?)))
+        else {
+            return false;
         };
         let now = self.now();
         let marks = self.marks_of(other, cid);
@@ -427,11 +511,13 @@
                 .machine
                 .respond(Cqe { cid, status: status::ABORTED_BY_REQUEST, ..Cqe::default() }, &[]);
             self.flush(other);
-        } else if let Some((gateway, marks)) = marks {
+            return true;
+        }
+        if let Some((gateway, marks)) = marks {
             // It goes on, but its initiator has let go of it.
             self.ended(gateway, &marks, ShotEnd::Aborted);
         }
-        status::SUCCESS
+        false
     }
 
     fn marks_of(&self, number: u64, cid: u16) -> Option<(u32, Marks)> {
@@ -458,6 +544,9 @@
                 self.close(one);
             }
         }
+        for number in self.associations.lost(now) {
+            self.close(number);
+        }
         if !faults.partition {
             let owing: Vec<u64> = self
                 .connections
@@ -474,13 +563,27 @@
     }
 
     fn finish(&mut self, now: f64, job: Job<Shot>, faults: &Faults) {
-        let Shot { connection: number, sqe, marks, gateway } = job.what;
+        let Shot { connection: number, sqe, marks, gateway, data } = job.what;
         let (mark, node) = (marks.mark, self.name.clone());
         let band = self.options.bands.get(usize::from(marks.band.saturating_sub(1)));
         // The client's tries of one operation share all but the last byte.
         let new = band
             .and_then(|band| band.tagged.as_ref())
             .is_none_or(|(group, window)| self.options.fleet.first(now, group, mark >> 8, *window));
+        let (length, fleet) = (sqe.length(), self.options.fleet.clone());
+        let mut brought = Vec::new();
+        let status = match sqe.opcode {
+            opcode::READ => {
+                brought = fleet.read(sqe.nsid, sqe.slba(), length);
+                status::SUCCESS
+            }
+            opcode::COMPARE if fleet.read(sqe.nsid, sqe.slba(), length) != *data => status::COMPARE_FAILURE,
+            opcode::WRITE if new && !fleet.write(sqe.nsid, sqe.slba(), &data) => status::INTERNAL_ERROR,
+            opcode::WRITE_ZEROES if new && !fleet.write(sqe.nsid, sqe.slba(), &vec![0; length]) => {
+                status::INTERNAL_ERROR
+            }
+            _ => status::SUCCESS,
+        };
         self.record.put(if new {
             Line::Ran { t: now, node, mark }
         } else {
@@ -512,16 +615,15 @@
             return self.ended(gateway, &marks, ShotEnd::Lost);
         }
         self.ended(gateway, &marks, ShotEnd::Answered);
-        let mut cqe = Cqe { cid: sqe.cid, ..Cqe::default() };
+        let mut cqe = Cqe { cid: sqe.cid, status, ..Cqe::default() };
         told.put(&mut cqe);
-        let length = if sqe.opcode == opcode::READ { sqe.length() } else { 0 };
-        self.respond(number, cqe, length);
+        self.respond(number, cqe, &brought);
         self.flush(number);
     }
 
-    fn respond(&mut self, number: u64, cqe: Cqe, length: usize) {
+    fn respond(&mut self, number: u64, cqe: Cqe, data: &[u8]) {
         if let Some(connection) = self.connections.get_mut(&number) {
-            connection.machine.respond(cqe, &vec![0xa5; length]);
+            connection.machine.respond(cqe, data);
         }
     }
 
@@ -558,14 +660,43 @@
         let connection = self.connections.remove(&number).unwrap();
         let _ = connection.stream.get_ref().shutdown(std::net::Shutdown::Both);
         // An association's queues end together.
-        let association = connection.association;
-        let others: Vec<u64> = self
-            .connections
-            .iter()
-            .filter(|(_, other)| other.association == association && association != 0)
-            .map(|(at, _)| *at)
-            .collect();
-        others.into_iter().for_each(|other| self.close(other));
+        for other in self.associations.ended(number) {
+            self.close(other);
+        }
+    }
+}
+
+/// What a target shows its hosts: every volume, of which it holds a part.
+struct Face<'a> {
+    options: &'a Options,
+    name: &'a str,
+}
+
+impl View for Face<'_> {
+    fn kind(&self) -> Kind {
+        Kind::Io
+    }
+    fn subsystem(&self) -> &str {
+        self.name
+    }
+    fn namespaces(&self, after: u32) -> Vec<(u32, u64)> {
+        let above = self.options.volumes.range(after.saturating_add(1)..);
+        above.take(1024).map(|(id, size)| (*id, *size)).collect()
+    }
+    fn blocks(&self, nsid: u32) -> Option<u64> {
+        self.options.volumes.get(&nsid).copied()
+    }
+    fn groups(&self) -> Vec<Group> {
+        vec![(1, ana::OPTIMIZED, self.options.volumes.keys().copied().collect())]
+    }
+    fn changes(&self) -> u64 {
+        1
+    }
+    fn discovery(&self) -> Vec<Record> {
+        Vec::new()
+    }
+    fn retry_delays(&self) -> [f64; 3] {
+        [0.0; 3]
     }
 }
 
