The node register is a discovery controller: log, access states, change events

Need: hosts that know the specification find nodes by its own means; the JSON wire was to be replaced.

--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -209,7 +209,6 @@
 pub struct Instance {
     pub deployment: Rc<Deployment>,
     pub name: String,
-    number: u32,
     core: Box<dyn Core>,
     actions: Actions,
     events: VecDeque<Happened>,
@@ -252,7 +251,6 @@
         info!(nodes = known.len(), "started with the last node list");
         let instance = Rc::new(RefCell::new(Instance {
             name: format!("nqn.2026-12.example.quaypath:initiator:{}", options.number),
-            number: options.number,
             deployment,
             core,
             actions,
@@ -557,10 +555,6 @@
         }
     }
 
-    pub fn hello(&self) -> Call {
-        Call::Hello { gateway: self.number }
-    }
-
     /// From here on nothing new leaves for nodes that drain or are gone: what waits in our own queues is taken
     /// back at once, and what the kernel still holds when the grace ends is reset.
     fn shut(&mut self, known: &[Known], scope: ListScope) {
--- a/crates/initiator/src/list.rs
+++ b/crates/initiator/src/list.rs
@@ -1,6 +1,4 @@
-//! The node list: its form on the register's wire, and the last one kept on disk.
-//!
-//! The register speaks lines of JSON, one object each. From a gateway: [`Call`]. To a gateway: [`News`].
+//! The node list as news of the register, and the last one kept on disk.
 
 use std::io;
 use std::path::Path;
@@ -8,24 +6,19 @@
 use quaypath::types::{BlockId, Condition, NodeId};
 use serde::{Deserialize, Serialize};
 
-/// Longest line that either end takes, bytes.
-pub const LONGEST_LINE: usize = 1 << 20;
 /// Most nodes of one list.
 pub const MOST_NODES: usize = 65536;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
+/// What the core asks of the register.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
-    /// First line of a connection.
-    Hello { gateway: u32 },
     /// Changes from now on, or no more.
     Watch { on: bool },
     /// The whole list once.
     Fetch,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NewsScope {
     Changes,
     Whole,
@@ -33,7 +26,7 @@
     Failed,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     /// Address and port.
     pub node: String,
@@ -42,26 +35,22 @@
     pub block: i64,
     pub condition: EntryCondition,
     /// Seconds since it last started; absent where it started long ago. An age, as clocks of two machines differ.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub age: Option<f64>,
     /// Changes with every start.
-    #[serde(default)]
     pub start: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EntryCondition {
     Ready,
     Draining,
     Gone,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct News {
     pub scope: NewsScope,
     pub revision: u64,
-    #[serde(default)]
     pub entries: Vec<Entry>,
 }
 
--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -18,7 +18,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncWriteExt, FutureExt};
 use quaypath::types::NodeId;
 use quaypath_nvme::command::{Cqe, Sqe, ANY_CONTROLLER};
 use quaypath_nvme::enable::Enable;
@@ -411,25 +411,3 @@
     })
     .await
 }
-
-/// Reads one line, bounded; none where the peer closed.
-pub async fn read_line(
-    stream: &Async<TcpStream>, held: &mut Vec<u8>, longest: usize,
-) -> io::Result<Option<Vec<u8>>> {
-    let mut buffer = [0; 8192];
-    loop {
-        if let Some(at) = held.iter().position(|byte| *byte == b'\n') {
-            let rest = held.split_off(at + 1);
-            return Ok(Some(std::mem::replace(held, rest)));
-        }
-        if held.len() > longest {
-            return Err(io::Error::other("a line longer than allowed"));
-        }
-        let mut reader = stream;
-        let count = reader.read(&mut buffer).await?;
-        if count == 0 {
-            return Ok(None);
-        }
-        held.extend_from_slice(&buffer[..count]);
-    }
-}
--- a/crates/standins/src/register.rs
+++ b/crates/standins/src/register.rs
@@ -1,10 +1,12 @@
-//! The node register on loopback: knows which processes run, tells it late, and fails when scripted.
+//! The node register on loopback, a discovery controller: knows which processes run, tells it late, and fails when
+//! scripted.
 //!
-//! Lines of JSON, as `quaypath_initiator::list` describes them. Pushed: the whole list after the first line,
-//! then every change. Asked: a watch is answered with the whole list and then with changes, a fetch with the
-//! whole list; both can fail.
+//! Nodes are records of the discovery log; a node that drains is inaccessible in the ANA log, one that is gone is in
+//! neither. A change is told by events to hosts that asked for them; where the register must be asked, reading the
+//! log can fail.
 
 use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::{Rc, Weak};
@@ -13,18 +15,20 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncWriteExt, FutureExt};
-use quaypath_initiator::list::{Call, Entry, EntryCondition, News, NewsScope};
-use quaypath_initiator::net::read_line;
+use quaypath_initiator::list::{Entry, EntryCondition};
+use quaypath_nvme::admin::{ana, log, Do, Group, Kind, Notice, Record, View};
+use quaypath_nvme::association::Associations;
+use quaypath_nvme::command::{opcode, Cqe, Sqe};
+use quaypath_nvme::controller::{Controller, Event};
+use quaypath_nvme::status;
 use quaypath_record::{Event as Line, Listed, Writer};
 use quaypath_settings::Mode;
 
-use crate::serve::Running;
+use crate::serve::{read_all, Output, Running};
 
-/// How often a connection looks for changes that are due, seconds.
+/// How often changes that are due are looked for, seconds.
 const LOOK: f64 = 0.01;
-/// Longest call that is read, bytes.
-const LONGEST_CALL: usize = 256;
+const MOST_CONNECTIONS: usize = 4096;
 
 /// One change of the list and when it shows.
 #[derive(Clone, Debug)]
@@ -32,17 +36,32 @@
     shows_at: f64,
     entry: Entry,
     started_at: f64,
+    port: u16,
 }
 
 #[derive(Default)]
 struct Book {
-    /// In the order in which they show; the list at a time is all changes that show by then, the last for each node.
+    /// In the order in which they show; the list at a time is all changes that show by then, the last of each node.
     changes: Vec<Change>,
-    /// More delay than each change had when it was made.
+    ports: BTreeMap<String, u16>,
     fails: bool,
+    /// More delay than each change had when it was made.
     late: f64,
 }
 
+impl Book {
+    /// The list at a time: its generation and each node's last change, ports ascending.
+    fn at(&self, now: f64) -> (u64, Vec<Change>) {
+        let shown = self.changes.partition_point(|change| change.shows_at <= now);
+        let mut last: BTreeMap<u16, Change> = BTreeMap::new();
+        for change in &self.changes[..shown] {
+            last.insert(change.port, change.clone());
+        }
+        last.retain(|_, change| change.entry.condition != EntryCondition::Gone);
+        (shown as u64 + 1, last.into_values().collect())
+    }
+}
+
 /// A register that runs on a thread of its own.
 pub struct Register {
     pub address: SocketAddr,
@@ -66,7 +85,18 @@
         let (shared, writer) = (book.clone(), record.clone());
         let running = Running::start("register", move |executor| {
             let listener = Async::new(listener).expect("a listener for the reactor");
-            executor.spawn(accept(Rc::downgrade(executor), listener, mode, shared, writer)).detach();
+            let state = State {
+                book: shared,
+                record: writer,
+                mode,
+                connections: BTreeMap::new(),
+                associations: Associations::new(MOST_CONNECTIONS),
+                next: 1,
+                noticed: 1,
+            };
+            let state = Rc::new(RefCell::new(state));
+            executor.spawn(accept(state.clone(), Rc::downgrade(executor), listener)).detach();
+            executor.spawn(notice(state)).detach();
         });
         Ok(Register { address, book, record, _running: running })
     }
@@ -79,14 +109,20 @@
         let now = self.record.clock.now();
         let mut book = self.book.lock().unwrap();
         let shows_at = now + after + if after > 0.0 { book.late } else { 0.0 };
-        let start = started.map_or(0, |at| (at * 1e6) as u64);
-        let (node, zone) = (node.to_string(), zone.to_string());
-        let entry = Entry { node: node.clone(), zone, block, condition, age: started.map(|_| 0.0), start };
-        // Changes of one node show in the order made.
-        let earlier = book.changes.iter().filter(|change| change.entry.node == node);
-        let shows_at = earlier.map(|change| change.shows_at).fold(shows_at, f64::max);
+        let (next, node, zone) = (book.ports.len() as u16, node.to_string(), zone.to_string());
+        let port = *book.ports.entry(node.clone()).or_insert(next);
+        // Changes of one node show in the order made; what is only about its condition keeps its start.
+        let earlier: Vec<&Change> = book.changes.iter().filter(|change| change.port == port).collect();
+        let shows_at = earlier.iter().map(|change| change.shows_at).fold(shows_at, f64::max);
+        let known = earlier.last().map(|change| (change.started_at, change.entry.start, change.entry.age));
+        let (started_at, start, age) = match (started, known) {
+            (Some(at), _) => (at, (at * 1e6) as u64, Some(0.0)),
+            (None, Some(known)) => known,
+            (None, None) => (0.0, 0, None),
+        };
+        let entry = Entry { node: node.clone(), zone, block, condition, age, start };
         let at = book.changes.partition_point(|change| change.shows_at <= shows_at);
-        book.changes.insert(at, Change { shows_at, entry, started_at: started.unwrap_or(0.0) });
+        book.changes.insert(at, Change { shows_at, entry, started_at, port });
         self.record.put(Line::Lists { t: shows_at, node, condition: listed(condition) });
     }
 
@@ -100,127 +136,231 @@
     }
 }
 
-async fn accept(
-    executor: Weak<LocalExecutor<'static>>, listener: Async<TcpListener>, mode: Mode, book: Arc<Mutex<Book>>,
+struct Connection {
+    stream: Rc<Async<TcpStream>>,
+    machine: Controller,
+    output: Output,
+    gateway: u32,
+    /// Nodes that this host was told of.
+    told: BTreeSet<String>,
+}
+
+struct State {
+    book: Arc<Mutex<Book>>,
     record: Writer,
-) {
+    mode: Mode,
+    connections: BTreeMap<u64, Connection>,
+    associations: Associations,
+    next: u64,
+    /// Generation that hosts were told of by events.
+    noticed: u64,
+}
+
+type Shared = Rc<RefCell<State>>;
+
+async fn accept(state: Shared, executor: Weak<LocalExecutor<'static>>, listener: Async<TcpListener>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             Timer::after(Duration::from_millis(20)).await;
             continue;
         };
         let Some(executor) = executor.upgrade() else { return };
-        let talk = talk(stream, mode, book.clone(), record.clone());
+        let mut this = state.borrow_mut();
+        if this.connections.len() >= MOST_CONNECTIONS {
+            continue;
+        }
+        let _ = stream.get_ref().set_nodelay(true);
+        let (number, stream) = (this.next, Rc::new(stream));
+        this.next += 1;
+        let machine = Controller::default();
+        let (output, told) = (Output::default(), BTreeSet::new());
+        this.connections
+            .insert(number, Connection { stream: stream.clone(), machine, output, gateway: 0, told });
+        drop(this);
+        let state = state.clone();
         executor
             .spawn(async move {
-                let _ = talk.await;
+                let _ = read_all(&stream, |bytes| state.borrow_mut().read(number, bytes)).await;
+                state.borrow_mut().close(number);
             })
             .detach();
     }
 }
 
-struct Talk {
-    gateway: u32,
-    /// Changes up to this one are told.
-    told: usize,
-    watches: bool,
-    out: Vec<u8>,
-    lines: Vec<(String, Listed, f64)>,
+async fn notice(state: Shared) {
+    loop {
+        Timer::after(Duration::from_secs_f64(LOOK)).await;
+        state.borrow_mut().look();
+    }
+}
+
+/// What the register shows at one moment.
+struct Face {
+    generation: u64,
+    shown: Vec<Change>,
+    now: f64,
+}
+
+impl View for Face {
+    fn kind(&self) -> Kind {
+        Kind::Discovery
+    }
+    fn subsystem(&self) -> &str {
+        quaypath_initiator::register::DISCOVERY
+    }
+    fn namespaces(&self, _after: u32) -> Vec<(u32, u64)> {
+        Vec::new()
+    }
+    fn blocks(&self, _nsid: u32) -> Option<u64> {
+        None
+    }
+    fn groups(&self) -> Vec<Group> {
+        let state = |change: &Change| match change.entry.condition {
+            EntryCondition::Ready => ana::OPTIMIZED,
+            EntryCondition::Draining => ana::INACCESSIBLE,
+            EntryCondition::Gone => ana::PERSISTENT_LOSS,
+        };
+        self.shown.iter().map(|change| (u32::from(change.port) + 1, state(change), Vec::new())).collect()
+    }
+    fn changes(&self) -> u64 {
+        self.generation
+    }
+    fn discovery(&self) -> Vec<Record> {
+        let record = |change: &Change| {
+            let (address, service) = change.entry.node.rsplit_once(':').unwrap_or((&change.entry.node, ""));
+            Record {
+                port: change.port,
+                address: address.into(),
+                service: service.into(),
+                subsystem: format!("nqn.2026-12.example.quaypath:node:{}", change.entry.node),
+                zone: change.entry.zone.clone(),
+                block: change.entry.block,
+                start: change.entry.start,
+                age: change.entry.age.map(|_| (self.now - change.started_at).max(0.0)),
+            }
+        };
+        self.shown.iter().map(record).collect()
+    }
+    fn retry_delays(&self) -> [f64; 3] {
+        [0.0; 3]
+    }
 }
 
-async fn talk(
-    stream: Async<TcpStream>, mode: Mode, book: Arc<Mutex<Book>>, record: Writer,
-) -> io::Result<()> {
-    let _ = stream.get_ref().set_nodelay(true);
-    let state = Talk { gateway: 0, told: 0, watches: false, out: Vec::new(), lines: Vec::new() };
-    let state = Rc::new(RefCell::new(state));
-    let reads = async {
-        let mut held = Vec::new();
-        while let Some(line) = read_line(&stream, &mut held, LONGEST_CALL).await? {
-            let call: Call = serde_json::from_slice(&line)?;
-            let mut this = state.borrow_mut();
-            let mut book = book.lock().unwrap();
-            match call {
-                Call::Hello { gateway } => {
-                    this.gateway = gateway;
-                    if mode == Mode::Pushed {
-                        this.watches = true;
-                        this.whole(&mut book, record.clock.now());
+impl State {
+    fn face(&self) -> Face {
+        let now = self.record.clock.now();
+        let (generation, shown) = self.book.lock().unwrap().at(now);
+        Face { generation, shown, now }
+    }
+
+    fn read(&mut self, number: u64, bytes: &[u8]) -> bool {
+        let Some(connection) = self.connections.get_mut(&number) else { return false };
+        let mut events = Vec::new();
+        let mut good = connection.machine.feed(bytes, &mut events).is_ok();
+        for event in events {
+            match event {
+                Event::Connect { queue, controller, host, keep_alive_ms, .. } => {
+                    let now = self.record.clock.now();
+                    let given =
+                        self.associations.connect(now, number, queue, controller, &host, keep_alive_ms);
+                    let connection = self.connections.get_mut(&number).unwrap();
+                    connection.gateway = host.rsplit(':').next().and_then(|at| at.parse().ok()).unwrap_or(0);
+                    match given {
+                        Ok(controller) => connection.machine.accept(controller),
+                        Err(status) => connection.machine.refuse(status),
                     }
                 }
-                _ if book.fails => this.say(NewsScope::Failed, 0, Vec::new()),
-                Call::Watch { on } => {
-                    this.watches = on;
-                    this.whole(&mut book, record.clock.now());
-                }
-                Call::Fetch => this.whole(&mut book, record.clock.now()),
+                Event::Command { sqe, .. } => self.command(number, &sqe),
+                Event::Terminated { .. } => good = false,
             }
         }
-        Ok(())
-    };
-    let writes = async {
-        loop {
-            let (out, lines, gateway) = {
-                let mut this = state.borrow_mut();
-                let now = record.clock.now();
-                if this.watches {
-                    this.changes(&book.lock().unwrap(), now);
-                }
-                (std::mem::take(&mut this.out), std::mem::take(&mut this.lines), this.gateway)
-            };
-            if out.is_empty() {
-                Timer::after(Duration::from_secs_f64(LOOK)).await;
-                continue;
+        self.flush(number) && good
+    }
+
+    fn command(&mut self, number: u64, sqe: &Sqe) {
+        let (now, face) = (self.record.clock.now(), self.face());
+        let reads = sqe.opcode == opcode::GET_LOG_PAGE;
+        let fails = reads && self.mode == Mode::Asked && self.book.lock().unwrap().fails;
+        let reply = match self.associations.command(now, number, sqe, &face) {
+            Some(Do::Respond(cqe, _)) if fails => {
+                Some((Cqe { cid: cqe.cid, status: status::INTERNAL_ERROR, ..Cqe::default() }, Vec::new()))
             }
-            let mut writer = &stream;
-            writer.write_all(&out).await?;
-            let t = record.clock.now();
-            for (node, condition, listed_at) in lines {
-                record.put(Line::Told { t, gateway, node, condition, listed_at });
+            Some(Do::Respond(cqe, data)) => Some((cqe, data)),
+            Some(Do::Disconnect(cqe)) => Some((cqe, Vec::new())),
+            Some(Do::Abort { cid, command, .. }) => {
+                let cqe = Cqe { cid: command, status: status::ABORTED_BY_REQUEST, ..Cqe::default() };
+                self.respond(number, cqe, &[]);
+                Some((Cqe { cid, ..Cqe::default() }, Vec::new()))
             }
+            Some(Do::Hold) | None => None,
+        };
+        let Some((cqe, data)) = reply else { return self.due(number) };
+        self.respond(number, cqe, &data);
+        self.due(number);
+        // The access states are the last part that a host reads of a list: with them it is told.
+        if reads && !fails && sqe.cdw[0] as u8 == log::ANA && self.flush(number) {
+            self.told(number, &face);
         }
-    };
-    reads.or(writes).await
-}
+    }
 
-impl Talk {
-    fn say(&mut self, scope: NewsScope, revision: usize, entries: Vec<Entry>) {
-        let news = News { scope, revision: revision as u64, entries };
-        serde_json::to_writer(&mut self.out, &news).expect("news can be written");
-        self.out.push(b'\n');
-    }
-
-    fn entry(&mut self, change: &Change, now: f64) -> Entry {
-        let mut entry = change.entry.clone();
-        entry.age = entry.age.map(|_| (now - change.started_at).max(0.0));
-        self.lines.push((entry.node.clone(), listed(entry.condition), change.shows_at));
-        entry
-    }
-
-    fn whole(&mut self, book: &mut Book, now: f64) {
-        let shown = book.changes.partition_point(|change| change.shows_at <= now);
-        let mut entries: Vec<Entry> = Vec::new();
-        for change in &book.changes[..shown] {
-            entries.retain(|entry| entry.node != change.entry.node);
-            if change.entry.condition != EntryCondition::Gone {
-                let entry = self.entry(change, now);
-                entries.push(entry);
-            } else {
-                self.lines.push((change.entry.node.clone(), Listed::Gone, change.shows_at));
-            }
+    fn due(&mut self, number: u64) {
+        while let Some(cqe) = self.associations.due(number) {
+            self.respond(number, cqe, &[]);
+        }
+    }
+
+    fn told(&mut self, number: u64, face: &Face) {
+        let t = self.record.clock.now();
+        let connection = self.connections.get_mut(&number).unwrap();
+        let gateway = connection.gateway;
+        let before = std::mem::take(&mut connection.told);
+        let tell = |node: &str, condition, listed_at| {
+            self.record.put(Line::Told { t, gateway, node: node.into(), condition, listed_at });
+        };
+        for change in &face.shown {
+            tell(&change.entry.node, listed(change.entry.condition), change.shows_at);
+            connection.told.insert(change.entry.node.clone());
+        }
+        for node in before.difference(&connection.told) {
+            tell(node, Listed::Gone, t);
         }
-        self.told = shown;
-        self.say(NewsScope::Whole, shown, entries);
     }
 
-    fn changes(&mut self, book: &Book, now: f64) {
-        let shown = book.changes.partition_point(|change| change.shows_at <= now);
-        if shown <= self.told {
+    fn look(&mut self) {
+        let face = self.face();
+        for number in self.associations.lost(face.now) {
+            self.close(number);
+        }
+        if face.generation == self.noticed {
             return;
         }
-        let new: Vec<Change> = book.changes[self.told..shown].to_vec();
-        let entries = new.iter().map(|change| self.entry(change, now)).collect();
-        self.told = shown;
-        self.say(NewsScope::Changes, shown, entries);
+        self.noticed = face.generation;
+        for notice in [Notice::Discovery, Notice::Access] {
+            for (number, cqe) in self.associations.notice(notice) {
+                self.respond(number, cqe, &[]);
+                self.flush(number);
+            }
+        }
+    }
+
+    fn respond(&mut self, number: u64, cqe: Cqe, data: &[u8]) {
+        if let Some(connection) = self.connections.get_mut(&number) {
+            connection.machine.respond(cqe, data);
+        }
+    }
+
+    fn flush(&mut self, number: u64) -> bool {
+        let Some(connection) = self.connections.get_mut(&number) else { return false };
+        connection.output.add(&mut connection.machine.out);
+        connection.output.flush(connection.stream.get_ref()).is_ok()
+    }
+
+    fn close(&mut self, number: u64) {
+        if let Some(connection) = self.connections.remove(&number) {
+            let _ = connection.stream.get_ref().shutdown(std::net::Shutdown::Both);
+        }
+        for other in self.associations.ended(number) {
+            self.close(other);
+        }
     }
 }
