--- a/crates/day/src/plan.rs
+++ b/crates/day/src/plan.rs
@@ -111,6 +111,11 @@
     Replace {
         block: i64,
     },
+    /// Killed, and up again cold under the same address after so many seconds.
+    Restart {
+        block: i64,
+        after: f64,
+    },
     KillGateway {
         number: u32,
     },
@@ -186,6 +191,12 @@
                     }
                 }
             }
+            FaultKind::SameAddress => {
+                for block in pick(day.fleet.nodes, fault.part, fault.node) {
+                    let block = i64::from(block);
+                    acts.push((at, Act::Restart { block, after: fault.returns }));
+                }
+            }
             FaultKind::Drain | FaultKind::Replace => {
                 let picked = pick(day.fleet.nodes, fault.part, fault.node);
                 let waves = fault.waves.max(1) as usize;
@@ -213,3 +224,75 @@
     acts.sort_by(|one, other| one.0.total_cmp(&other.0));
     acts
 }
+
+/// A day of the same fleet and traffic, with troubles drawn by a seed: three to six, overlapping, of every kind.
+pub fn storm(day: &Day, seed: u64, lasts: f64) -> Day {
+    use FaultKind::*;
+    let mut chance = SmallRng::seed_from_u64(seed ^ 0x0057_0123);
+    let kinds = [
+        Slow,
+        Pauses,
+        FastErrors,
+        LostAnswers,
+        Resets,
+        Refused,
+        Replace,
+        Drain,
+        Partition,
+        KillInitiators,
+        StallInitiators,
+        RegisterFails,
+        RegisterLate,
+        HeavyTail,
+        Neighbour,
+        Rogue,
+        SameAddress,
+    ];
+    let mut fault = Vec::new();
+    for _ in 0..chance.random_range(3..=6) {
+        let kind = kinds[chance.random_range(0..kinds.len())];
+        let at = chance.random_range(0.3..0.5 * lasts);
+        let rest = lasts - at;
+        let size = match kind {
+            Slow => chance.random_range(2.0..6.0),
+            Pauses => chance.random_range(0.05..0.5),
+            FastErrors | LostAnswers => chance.random_range(0.1..0.8),
+            Resets => chance.random_range(0.5..5.0),
+            Drain => chance.random_range(0.2..0.6 * rest),
+            StallInitiators => chance.random_range(0.1..0.6),
+            RegisterLate => chance.random_range(0.5..3.0),
+            HeavyTail => chance.random_range(0.01..0.1),
+            Neighbour => chance.random_range(0.3..0.75),
+            Rogue => chance.random_range(0.002..0.05),
+            _ => 0.0,
+        };
+        fault.push(quaypath_settings::Fault {
+            kind,
+            at,
+            lasts: if kind == Replace { 0.0 } else { rest * chance.random_range(0.2..0.8) },
+            part: chance.random_range(0.1..0.5),
+            node: None,
+            size,
+            waves: chance.random_range(1..4),
+            returns: chance.random_range(0.3..0.3 * lasts),
+        });
+    }
+    let mut storm = day.clone();
+    (storm.seed, storm.lasts, storm.fault) = (seed, lasts, fault);
+    // What the file places in time is past the end of a shorter day.
+    (storm.traffic.surge, storm.traffic.leave) = (Vec::new(), Vec::new());
+    storm.traffic.surge.push(Surge {
+        at: 0.2 * lasts,
+        lasts: 0.4 * lasts,
+        times: chance.random_range(1.5..4.0),
+        plan: None,
+        volume: None,
+    });
+    storm.traffic.leave.push(quaypath_settings::Leave {
+        at: 0.3 * lasts,
+        lasts: 0.3 * lasts,
+        part: chance.random_range(0.1..0.6),
+        after: chance.random_range(0.1..0.9),
+    });
+    storm
+}
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -170,6 +170,11 @@
 
 impl Stage<'_> {
     fn target(&mut self, block: i64, cold: bool) -> Result<(), Error> {
+        let listener = target::listener().map_err(io("a target's port"))?;
+        self.target_at(block, cold, listener)
+    }
+
+    fn target_at(&mut self, block: i64, cold: bool, listener: std::net::TcpListener) -> Result<(), Error> {
         let (fleet, core) = (&self.day.fleet, &self.deployment.core);
         let zone = zone(block, self.deployment);
         let tagged = |band: &quaypath_rules::Band| {
@@ -211,7 +216,6 @@
             fleet: self.fleet.clone(),
             spread: 0.4,
         };
-        let listener = target::listener().map_err(io("a target's port"))?;
         let target = Target::start(options, listener, self.record.clone()).map_err(io("a target"))?;
         let started = cold.then(|| self.record.clock.now());
         let notice = if cold { fleet.notice * 0.5 } else { 0.0 };
@@ -243,6 +247,7 @@
                         faults.slow = if begins { 1.0 / (1.0 - size.min(0.95)) } else { 1.0 }
                     }
                     FaultKind::HeavyTail => faults.heavy = if begins { size } else { 0.0 },
+                    FaultKind::Rogue => faults.rogue = if begins { size } else { 0.0 },
                     FaultKind::LateReports => faults.late = if begins { size } else { 0.0 },
                     _ => {}
                 });
@@ -255,6 +260,16 @@
                 self.targets.remove(block);
             }
             Act::Replace { block } => self.target(*block, true)?,
+            Act::Restart { block, after } => {
+                let Some(target) = self.targets.remove(block) else { return Ok(()) };
+                let address: SocketAddr = target.node.parse().expect("a target's name is its address");
+                // The process is gone before its successor binds.
+                drop(target);
+                std::thread::sleep(Duration::from_secs_f64(*after));
+                let listener =
+                    std::net::TcpListener::bind(address).map_err(io(format!("{address}, again")))?;
+                self.target_at(*block, true, listener)?;
+            }
             Act::KillGateway { number } => {
                 let gateway = self.gateways.get_mut(number);
                 gateway.into_iter().for_each(|gateway| gateway.kill(&self.record));
--- a/crates/programs/src/bin/day.rs
+++ b/crates/programs/src/bin/day.rs
@@ -27,6 +27,8 @@
 enum Act {
     /// Runs the day and judges it; exits 1 where a rule is broken
     Run(Run),
+    /// Runs short days with troubles drawn by seed, one after the other; exits 1 where a rule is broken
+    Storm(Storm),
     /// Prints what the day will bring, without running it
     Show {
         /// The day, XML by quaypath.xsd
@@ -34,6 +36,21 @@
     },
 }
 
+#[derive(Args)]
+struct Storm {
+    /// The day whose fleet and traffic are taken, XML by quaypath.xsd
+    day: PathBuf,
+    /// First seed
+    #[arg(long, default_value_t = 1)]
+    from: u64,
+    /// Seeds to run
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+    /// Seconds of each
+    #[arg(long, default_value_t = 5.0)]
+    lasts: f64,
+}
+
 #[derive(Args)]
 struct Run {
     /// The day, XML by quaypath.xsd
@@ -105,6 +122,44 @@
     format!("gateway memory: at half {}; at the end {}", at(0.0, lasts / 2.0), at(lasts / 2.0, f64::INFINITY))
 }
 
+fn storm(arguments: &Storm) -> Result<bool, String> {
+    let (day, deployment) = quaypath_settings::day(&arguments.day).map_err(|error| error.to_string())?;
+    let beside = std::env::current_exe().map_err(|error| error.to_string())?;
+    let mut broken = Vec::new();
+    let mut transactions = 0;
+    for seed in arguments.from..arguments.from.saturating_add(arguments.seeds) {
+        let storm = plan::storm(&day, seed, arguments.lasts.clamp(1.0, 600.0));
+        let folder = std::env::temp_dir().join(format!("quaypath-storm-{}-{seed}", std::process::id()));
+        let options = run::Options {
+            gateway: beside.with_file_name("quaypath-gateway"),
+            deployment: arguments.day.parent().unwrap_or(std::path::Path::new("")).join(&day.deployment),
+            folder: folder.clone(),
+            careless: false,
+        };
+        let (_, _, tally) = run::run(&storm, &deployment, &options).map_err(|error| error.to_string())?;
+        let report = report::of_files(&deployment, day.transit, &[run::record_path(&folder)])
+            .map_err(|error| error.to_string())?;
+        transactions += report.all.taken;
+        let kinds: Vec<String> = storm.fault.iter().map(|fault| format!("{:?}", fault.kind)).collect();
+        let hung = if tally.done { "" } else { ", HUNG" };
+        println!(
+            "seed {seed}: {} taken, {}{hung}  [{}]",
+            report.all.taken,
+            report.verdict(),
+            kinds.join(" ")
+        );
+        if report.kept() && tally.done {
+            let _ = std::fs::remove_dir_all(&folder);
+        } else {
+            eprintln!("record and logs: {}", folder.display());
+            broken.push(seed);
+        }
+    }
+    let count = arguments.seeds;
+    println!("{count} seeds, {transactions} transactions, {} broken or hung: {broken:?}", broken.len());
+    Ok(broken.is_empty())
+}
+
 fn show(path: &std::path::Path) -> Result<bool, String> {
     let (day, deployment) = quaypath_settings::day(path).map_err(|error| error.to_string())?;
     let asks = plan::traffic(&day, &deployment);
@@ -120,6 +175,7 @@
     arguments.logs.start();
     let done = match arguments.act {
         Act::Run(run) => run_day(run),
+        Act::Storm(arguments) => storm(&arguments),
         Act::Show { day } => show(&day),
     };
     exit("quaypath-day", done)
--- a/crates/programs/tests/helper/mod.rs
+++ b/crates/programs/tests/helper/mod.rs
@@ -5,8 +5,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use quaypath_initiator::list::EntryCondition;
@@ -14,7 +15,7 @@
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, ANY_CONTROLLER};
 use quaypath_nvme::controller::{Controller, Event as Asked};
 use quaypath_nvme::enable::Enable;
-use quaypath_nvme::host::{Event, Host, State};
+use quaypath_nvme::host::{Event, Host, Offer, State};
 use quaypath_nvme::{status, QUEUE_SIZE};
 use quaypath_record::{Clock, Writer};
 use quaypath_settings::Mode;
@@ -36,6 +37,8 @@
     pub volumes: u32,
     pub open: u32,
     pub idle: f64,
+    pub keep_alive: f64,
+    pub digests: &'static str,
 }
 
 impl Default for Shape {
@@ -49,6 +52,8 @@
             volumes: 8,
             open: 2048,
             idle: 30.0,
+            keep_alive: 0.0,
+            digests: "none",
         }
     }
 }
@@ -63,7 +68,8 @@
 
 impl Shape {
     fn text(&self) -> String {
-        let Shape { nodes, connections, half_pdu, grace, outer, volumes, open, idle } = self;
+        let Shape { nodes, connections, half_pdu, grace, outer, volumes, open, idle, keep_alive, digests } =
+            self;
         let band = |name: &str, repeat: &str, writes: bool| {
             format!(
                 r#"<band name="{name}" due="1" outer="{outer}" benefit="1" repeat="{repeat}" writes="{writes}"/>"#
@@ -73,7 +79,7 @@
             r#"<deployment name="test">
 <listen address="127.0.0.1:0" connections="{connections}" open="{open}"/>
 <register address="127.0.0.1:1" mode="pushed"/>
-<connections connect="0.5" idle="{idle}" half-pdu="{half_pdu}"/>
+<connections connect="0.5" idle="{idle}" half-pdu="{half_pdu}" keep-alive="{keep_alive}" digests="{digests}"/>
 <allow shots="3" cancel="true" copies="false" longest-return="0.5"/>
 <rules answer-slack="0.05" drain-grace="{grace}" start-capacity="0.2" cold-for="5" fall-multiple="2"
  overload-for="1" young-units="8" key-quiet="0"/>
@@ -178,11 +184,12 @@
 }
 
 impl Queue {
-    fn open(address: SocketAddr, number: u16, controller: u16) -> (Queue, u16) {
+    fn open(address: SocketAddr, number: u16, controller: u16, offer: Offer) -> (Queue, u16) {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        let host = Host::start(number, QUEUE_SIZE, controller, "nqn.test:gateway", "nqn.test:client:0");
+        let host =
+            Host::start_with(number, QUEUE_SIZE, controller, "nqn.test:gateway", "nqn.test:client:0", offer);
         let mut queue = Queue { stream, host, events: Vec::new() };
         let mut enable = Enable::new(1, false);
         loop {
@@ -251,8 +258,12 @@
 
 impl Client {
     pub fn connect(address: SocketAddr) -> Client {
-        let (admin, controller) = Queue::open(address, 0, ANY_CONTROLLER);
-        let (io, _) = Queue::open(address, 1, controller);
+        Self::connect_with(address, Offer::default())
+    }
+
+    pub fn connect_with(address: SocketAddr, offer: Offer) -> Client {
+        let (admin, controller) = Queue::open(address, 0, ANY_CONTROLLER, offer);
+        let (io, _) = Queue::open(address, 1, controller, offer);
         Client { admin, io }
     }
 
@@ -290,6 +301,13 @@
     pub arrived: Receiver<(u64, u8)>,
     /// Answers what was held: mark and status.
     pub later: Sender<(u64, u16)>,
+    /// Takes no digests, whatever is offered.
+    plain: Arc<AtomicBool>,
+}
+
+/// From now on the peer takes no digests.
+pub fn plain_only(peer: &Peer) {
+    peer.plain.store(true, Ordering::Relaxed);
 }
 
 pub fn peer(script: impl Fn(&Sqe, &Marks) -> Do + Send + Sync + 'static) -> Peer {
@@ -299,22 +317,26 @@
     let (later, answers) = channel::<(u64, u16)>();
     let answers = std::sync::Arc::new(std::sync::Mutex::new(answers));
     let script = std::sync::Arc::new(script);
+    let plain = Arc::new(AtomicBool::new(false));
+    let taken = plain.clone();
     std::thread::spawn(move || {
         for stream in listener.incoming() {
             let (tell, script, answers) = (tell.clone(), script.clone(), answers.clone());
-            std::thread::spawn(move || serve(stream.unwrap(), &tell, &*script, &answers));
+            let plain = taken.load(Ordering::Relaxed);
+            std::thread::spawn(move || serve(stream.unwrap(), &tell, &*script, &answers, plain));
         }
     });
-    Peer { address, arrived, later }
+    Peer { address, arrived, later, plain }
 }
 
 fn serve(
     mut stream: TcpStream, tell: &Sender<(u64, u8)>, script: &(dyn Fn(&Sqe, &Marks) -> Do + Send + Sync),
-    answers: &std::sync::Mutex<Receiver<(u64, u16)>>,
+    answers: &std::sync::Mutex<Receiver<(u64, u16)>>, plain: bool,
 ) {
     stream.set_nodelay(true).unwrap();
     stream.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
-    let (mut machine, mut buffer) = (Controller::default(), [0; 65536]);
+    let mut machine = if plain { Controller::taking(Default::default()) } else { Controller::default() };
+    let mut buffer = [0; 65536];
     let mut held: Vec<(u64, u16)> = Vec::new();
     let mut admin = Admin::new(0.0, 1, 0);
     loop {
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -260,7 +260,8 @@
             }
             Event::Arrive { .. } => self.arrived(event),
             Event::Ran { t, mark, .. } => self.ran(*t, *mark),
-            Event::Dropped { .. } | Event::Down { .. } => {}
+            Event::Dropped { .. } => {}
+            Event::Down { t, node } => self.died(*t, node),
             Event::Ended { t, node, mark, shot, end, .. } => {
                 let asked = self.asked.get_mut(mark);
                 let shots = asked.into_iter().flat_map(|asked| asked.shots.iter_mut());
@@ -513,6 +514,14 @@
         found.into_iter().for_each(|what| self.breach(Rule::Order, t, what));
     }
 
+    /// A dead process writes no ends: its shots broke off when it died.
+    fn died(&mut self, t: f64, node: &str) {
+        let shots = self.asked.values_mut().flat_map(|asked| asked.shots.iter_mut());
+        for shot in shots.filter(|shot| shot.node == node && shot.ended.is_none()) {
+            shot.ended = Some((t, ShotEnd::Broken));
+        }
+    }
+
     fn fell(&mut self, t: f64, node: &str) {
         let arrivals = self.arrivals.get(node).cloned().unwrap_or_default();
         let all: u32 = arrivals.iter().map(|(.., units)| units).sum();
--- a/crates/rules/tests/judged.rs
+++ b/crates/rules/tests/judged.rs
@@ -135,6 +135,17 @@
     assert_eq!(rules(events), broken);
 }
 
+/// Its node dies with the first shot in hand, and comes up again under the same name.
+#[test_case(0, 1.5, &[]; "a repeatable one is sent again after the death")]
+#[test_case(1, 1.5, &[2]; "a once only one is sent again after the death")]
+#[test_case(0, 1.15, &[2]; "a repeatable one is sent again before the death")]
+fn a_death_ends_what_a_node_had(band: usize, again: f64, broken: &[u8]) {
+    let mut events = twice(band, FAILED, "n", again);
+    events.retain(|event| !matches!(event, Event::Ended { end: ShotEnd::Failed, .. }));
+    events.push(Event::Down { t: 1.3, node: "n".into() });
+    assert_eq!(rules(events), broken);
+}
+
 fn sent(t: f64) -> Vec<Event> {
     vec![
         ask(t - 0.1, A, 0),
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -37,6 +37,10 @@
     RegisterLate,
     /// A `size` part of transactions takes ten times its work.
     HeavyTail,
+    /// A `size` part of answers goes with bytes that break the protocol, each in one of six ways.
+    Rogue,
+    /// Killed, and replaced cold under the same address after `returns`.
+    SameAddress,
     /// Something else takes a `size` part of the machine, two seconds on and two off.
     Neighbour,
 }
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -16,7 +16,7 @@
 use quaypath_nvme::association::Associations;
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, Told};
 use quaypath_nvme::controller::{Controller, Event};
-use quaypath_nvme::pdu::Format;
+use quaypath_nvme::pdu::{DataPart, Format, Pdu};
 use quaypath_nvme::{status, BLOCK_SIZE};
 use quaypath_record::{Event as Line, ShotEnd, Writer};
 use rand::rngs::SmallRng;
@@ -50,6 +50,8 @@
     pub deaf: bool,
     /// Share of transactions that take ten times their work.
     pub heavy: f64,
+    /// Share of answers that go with bytes that break the protocol.
+    pub rogue: f64,
     /// Figures in answers are this many seconds old.
     pub late: f64,
 }
@@ -66,6 +68,7 @@
             partition: false,
             deaf: false,
             heavy: 0.0,
+            rogue: 0.0,
             late: 0.0,
         }
     }
@@ -615,6 +618,11 @@
             return self.ended(gateway, &marks, ShotEnd::Lost);
         }
         self.ended(gateway, &marks, ShotEnd::Answered);
+        if faults.rogue > 0.0 && self.chance.random::<f64>() < faults.rogue {
+            let way = self.chance.random_range(0..6);
+            let connection = self.connections.get_mut(&number).unwrap();
+            rogue(way, &sqe, &mut connection.machine.out);
+        }
         let mut cqe = Cqe { cid: sqe.cid, status, ..Cqe::default() };
         told.put(&mut cqe);
         self.respond(number, cqe, &brought);
@@ -700,6 +708,36 @@
     }
 }
 
+/// Bytes that no controller may send, in one of six ways.
+pub fn rogue(way: u32, sqe: &Sqe, out: &mut Vec<u8>) {
+    let cid = sqe.cid;
+    let data = |length: usize| {
+        Pdu::C2hData(DataPart {
+            cid,
+            ttag: 0,
+            offset: 0,
+            last: true,
+            success: false,
+            data: vec![0x66; length],
+        })
+    };
+    match way {
+        // Answered twice: the proper answer follows.
+        0 => Pdu::Response(Cqe { cid, ..Cqe::default() }).encode(out),
+        1 => Pdu::Response(Cqe { cid: 0x7ffe, ..Cqe::default() }).encode(out),
+        2 => data(sqe.length() + BLOCK_SIZE).encode(out),
+        3 => Pdu::R2t { cid, ttag: 1, offset: 1 << 20, length: 1 << 20 }.encode(out),
+        // A digest that does not match, or that was not agreed on.
+        4 => {
+            let format = Format { header_digest: true, data_digest: true, align: 0 };
+            let start = out.len();
+            data(BLOCK_SIZE).encode_in(format, out);
+            out[start + 24] ^= 0xff;
+        }
+        _ => out.extend_from_slice(&[0x5a; 64]),
+    }
+}
+
 /// A listener on an ephemeral loopback port.
 pub fn listener() -> io::Result<TcpListener> {
     TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
