Path manager without I/O; timers wait for one more look at the sockets after a standstill

Need: an association lost was only made again when a shot came, by all gateways at once; and a test under load showed a time-out rung before an answer that had come: the process had stood still between the reactor's look at the sockets and the timers' turn. Change: crates/initiator/src/path.rs (named states, one transition function): made again by itself at jittered growing waits up to the loss time, fenced by drains, retired when a node starts anew; a late timer waits until the sockets were looked at after it.

--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -15,6 +15,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Async;
+use nanorand::{Rng, WyRand};
 use quaypath::types::*;
 use quaypath_nvme::admin::{plain, Do, Group, Kind, Record, View};
 use quaypath_nvme::association::Associations;
@@ -31,6 +32,7 @@
 use crate::list::{Call, Known, List, News, NewsScope};
 use crate::net;
 use crate::outcome::{outcome, Ended, Progress};
+use crate::path::{Act, Event as Went, Path};
 use crate::wheel::Wheel;
 
 /// Data asked for and not yet taken by one client connection, bytes, at which its commands are turned away.
@@ -204,6 +206,9 @@
     waiting: VecDeque<(u64, u32)>,
     /// Since when we know that it drains or is gone.
     shut_since: Option<f64>,
+    path: Path,
+    /// When it started, as the list told last; 0: long ago.
+    started: Option<f64>,
 }
 
 pub struct Instance {
@@ -221,6 +226,7 @@
     next_id: u64,
     next_connection: u64,
     associations: Associations,
+    chance: WyRand,
     index: Index,
     fronts: HashMap<u64, Front>,
     backs: HashMap<u64, Back>,
@@ -264,6 +270,7 @@
             next_id: 1,
             next_connection: 1,
             associations: Associations::new(options.deployment.listen.connections),
+            chance: WyRand::new_seed(options.seed ^ 0x9a7),
             index: Index::new(&options.deployment),
             fronts: HashMap::new(),
             backs: HashMap::new(),
@@ -287,6 +294,11 @@
         instance
     }
 
+    /// The clock as it is, between turns.
+    pub fn clock_now(&self) -> f64 {
+        self.clock.now()
+    }
+
     pub fn executor(&self) -> Option<Rc<LocalExecutor<'static>>> {
         self.executor.upgrade()
     }
@@ -489,10 +501,20 @@
         }
         let others = self.backs.iter().filter(|(at, back)| !kept.contains(at) && idle(back));
         closing.extend(others.map(|(at, _)| *at));
-        closing.into_iter().for_each(|connection| self.back_closed(connection));
+        for connection in closing {
+            let node = self.backs.get(&connection).filter(|_| kept.contains(&connection));
+            let node = node.map(|back| back.node.clone());
+            // Closed by us for want of use: not a loss.
+            node.into_iter().for_each(|node| self.went(&node, Went::Idle));
+            self.back_closed(connection);
+        }
+        let listed = self.nodes.iter().filter(|(_, node)| node.shut_since.is_none());
+        let names: Vec<NodeId> = listed.map(|(name, _)| name.clone()).collect();
+        names.iter().for_each(|name| self.went(name, Went::Tick));
         // A node that is gone, with nothing at it, need not be remembered.
         self.nodes.retain(|_, node| {
-            let idle = matches!(node.link, Link::Closed) && node.waiting.is_empty();
+            let missed = matches!(node.path.state(), crate::path::State::Waiting { .. });
+            let idle = matches!(node.link, Link::Closed) && node.waiting.is_empty() && !missed;
             !(idle && node.shut_since.is_none_or(|since| now - since > 60.0))
         });
     }
@@ -559,10 +581,16 @@
     /// back at once, and what the kernel still holds when the grace ends is reset.
     fn shut(&mut self, known: &[Known], scope: ListScope) {
         let mut shut: Vec<NodeId> = Vec::new();
-        for (node, _, condition, _) in known {
+        for (node, _, condition, started) in known {
             match condition {
                 Condition::Ready => {
-                    self.nodes.get_mut(node).into_iter().for_each(|node| node.shut_since = None);
+                    let Some(of) = self.nodes.get_mut(node) else { continue };
+                    of.shut_since = None;
+                    let anew = of.started.replace(*started).is_some_and(|before| before != *started);
+                    self.went(node, Went::Ready);
+                    if anew {
+                        self.went(node, Went::Restarted);
+                    }
                 }
                 _ => shut.push(node.clone()),
             }
@@ -578,6 +606,7 @@
                 continue;
             };
             node.shut_since = Some(now);
+            node.path.on(now, Went::Shut, 0.0);
             self.timers.set(now + grace, Timer::Grace(name.clone()));
             let waiting: Vec<(u64, u32)> = node.waiting.drain(..).collect();
             let queued = self.backs.values().filter(|back| back.node == name);
@@ -883,7 +912,25 @@
             Link::Opening => known.waiting.push_back((id, number)),
             Link::Closed => {
                 known.waiting.push_back((id, number));
-                self.open_link(node);
+                self.went(&node, Went::Wanted);
+            }
+        }
+    }
+
+    /// Something happened to the path to a node; what follows from it is done.
+    fn went(&mut self, name: &NodeId, event: Went) {
+        let chance = self.chance.generate::<f64>();
+        let Some(node) = self.nodes.get_mut(name) else { return };
+        match node.path.on(self.now, event, chance) {
+            Act::Nothing => {}
+            Act::Open => self.open_link(name.clone()),
+            Act::Retire => {
+                // Live commands finish there; the next shot makes a new association.
+                if let Link::Up(ios, admin) = std::mem::take(&mut node.link) {
+                    for at in ios.iter().chain([&admin]) {
+                        self.backs.get_mut(at).into_iter().for_each(|back| back.retired = true);
+                    }
+                }
             }
         }
     }
@@ -926,13 +973,10 @@
             }
             None => {
                 let node = back.node.clone();
-                if let Some(Link::Up(ios, _)) = self.nodes.get(&node).map(|node| &node.link) {
-                    for io in ios.clone() {
-                        self.backs.get_mut(&io).into_iter().for_each(|back| back.retired = true);
-                    }
-                }
                 self.nodes.entry(node.clone()).or_default().waiting.push_back((id, number));
-                self.open_link(node);
+                // As if another process were there: what is out finishes, what comes takes a fresh association.
+                self.went(&node, Went::Restarted);
+                self.went(&node, Went::Wanted);
             }
         }
     }
@@ -1003,6 +1047,7 @@
             self.backs.insert(self.next_connection, back);
             self.next_connection += 1;
         }
+        self.went(name, Went::Opened);
         let node = self.nodes.entry(name.clone()).or_default();
         node.link = Link::Up(ids[1..].to_vec(), ids[0]);
         let waiting: Vec<_> = node.waiting.drain(..).collect();
@@ -1019,6 +1064,7 @@
         let Some(node) = self.nodes.get_mut(name) else { return };
         node.link = Link::Closed;
         let waiting: Vec<_> = node.waiting.drain(..).collect();
+        self.went(name, Went::Failed);
         for (id, number) in waiting {
             self.end_shot(id, number, Ended::Lost, Told::default());
         }
@@ -1090,6 +1136,9 @@
             }
             _ => None,
         });
+        if peers.is_some() {
+            self.went(&back.node, Went::Broke);
+        }
         for (id, number) in lost {
             if let Some(shot) = self.open.get_mut(&id).and_then(|t| t.shot.as_mut()) {
                 shot.at = None;
@@ -1107,6 +1156,7 @@
         };
         if ios.iter().all(idle) {
             let admin = *admin;
+            self.went(node, Went::Idle);
             self.back_closed(admin);
         }
     }
--- a/crates/initiator/src/lib.rs
+++ b/crates/initiator/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod list;
 pub mod net;
 pub mod outcome;
+pub mod path;
 pub mod register;
 pub mod wheel;
 
--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -235,12 +235,16 @@
     }
 }
 
+/// How late a timer may be before the sockets are looked at once more, seconds.
+const LATE: f64 = 0.005;
+
 async fn timers(instance: Weak<RefCell<Instance>>) {
     loop {
-        let (wait, wake) = {
+        let (due, wait, wake) = {
             let Some(this) = instance.upgrade() else { return };
             let this = this.borrow();
-            (this.next_timer().map(|at| this.until(at)), this.wake.clone())
+            let due = this.next_timer();
+            (due, due.map(|at| this.until(at)), this.wake.clone())
         };
         match wait {
             Some(wait) if wait.is_zero() => {}
@@ -252,6 +256,19 @@
             }
             None => wake.wait().await,
         }
+        // The process may have stood still between the reactor's last look at the sockets and now: what came
+        // meanwhile is only seen by another look, and goes before what is late by the same standstill.
+        let mut since = due.filter(|at| at.is_finite());
+        while let Some(at) = since {
+            let Some(this) = instance.upgrade() else { return };
+            let now = this.borrow().clock_now();
+            drop(this);
+            if now - at <= LATE {
+                break;
+            }
+            Timer::after(Duration::from_micros(300)).await;
+            since = Some(now);
+        }
         // All that the reactor woke together with us goes first, answers among it.
         yield_now().await;
         yield_now().await;
