--- a/crates/nvme/examples/walk.rs
+++ b/crates/nvme/examples/walk.rs
@@ -1,6 +1,6 @@
 //! Prints the bytes of one whole exchange, both directions, as `docs/protocol.md` walks it.
 
-use quaypath_nvme::admin::{identify, property_set, property, CC_ON};
+use quaypath_nvme::admin::{identify, property, property_set, CC_ON};
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, Told, ANY_CONTROLLER};
 use quaypath_nvme::controller::{Controller, Event};
 use quaypath_nvme::host::Host;
@@ -18,7 +18,8 @@
     let (mut controller, mut events) = (Controller::default(), Vec::new());
     let marks = Marks { band: 1, units: 1, mark: 0x100, key: 3, budget_ms: 1200, ..Marks::default() };
     let read = marks.put(Sqe::transfer(opcode::READ, 1, 0x10, 1));
-    let mut commands = vec![(property_set(property::CC, CC_ON), 0), (identify(1, 0), 4096), (read, 512)].into_iter();
+    let mut commands =
+        vec![(property_set(property::CC, CC_ON), 0), (identify(1, 0), 4096), (read, 512)].into_iter();
     loop {
         let up = std::mem::take(&mut host.out);
         if up.is_empty() {
