Reads and writes of sockets are counted; Write Zeroes and Compare tried through the gateway

Need: the path's cost is to be known in calls of the kernel too. Change: two counts, in the bench for each transaction; a case for the opcodes that only the stand-in had seen.

--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -69,6 +69,9 @@
     /// Associations with nodes given up for want of a sign of life.
     pub keep_alive_lost: u64,
     pub stalls: u64,
+    /// Calls of the kernel that read or wrote on clients' and nodes' connections.
+    pub reads: u64,
+    pub writes: u64,
     /// Seconds of CPU spent in the core.
     pub core_seconds: f64,
     pub open: usize,
@@ -1167,6 +1170,7 @@
     pub fn flush(&mut self, connection: u64) {
         if let Some(front) = self.fronts.get_mut(&connection) {
             let before = front.sent;
+            self.counts.writes += 1;
             let written = write_out(front.stream.get_ref(), &mut front.machine.out, &mut front.sent);
             match written {
                 Ok(true) => front.stuck.written(self.now, true, false),
@@ -1239,6 +1243,7 @@
                     return Ok(true);
                 }
             }
+            self.counts.writes += 1;
             let mut stream = back.stream.get_ref();
             let written = match stream.write(&back.current[back.sent..]) {
                 Ok(0) => Err(io::ErrorKind::WriteZero.into()),
--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -182,6 +182,7 @@
 ) {
     loop {
         let Some(this) = instance.upgrade() else { return };
+        this.borrow_mut().counts.reads += 1;
         let read = BUFFER.with_borrow_mut(|buffer| {
             let mut direct = stream.get_ref();
             match direct.read(buffer) {
--- a/crates/programs/benches/gateway.rs
+++ b/crates/programs/benches/gateway.rs
@@ -237,7 +237,13 @@
         gateway.0.stdout.take().unwrap().read_to_string(&mut text).unwrap();
         let counts: serde_json::Value = serde_json::from_str(text.trim()).unwrap();
         let core = counts["core_seconds"].as_f64().unwrap() / counts["taken"].as_f64().unwrap() * 1e6;
-        println!("core: {core:.1} us of each transaction, over {} taken", counts["taken"]);
+        let calls = |name: &str| counts[name].as_f64().unwrap() / counts["taken"].as_f64().unwrap();
+        println!(
+            "core: {core:.1} us of each transaction, over {} taken; {:.2} reads and {:.2} writes of sockets each",
+            counts["taken"],
+            calls("reads"),
+            calls("writes")
+        );
     }
     let _ = std::fs::remove_dir_all(&folder);
 }
--- a/crates/programs/tests/path.rs
+++ b/crates/programs/tests/path.rs
@@ -330,6 +330,33 @@
     });
 }
 
+/// What is written is there for every opcode, and a comparison that finds a difference is an answer, not a failure.
+#[test]
+fn writes_zeroes_and_comparisons_reach_the_node() {
+    use quaypath_nvme::command::{opcode, Marks};
+    let target = stand_in(bound());
+    let (gateway, mut client) = one(&Shape::default(), target.node.parse().unwrap());
+    settled(&mut client);
+    let mut mark = 0x1000;
+    let mut run = |opcode: u8, fill: u8| {
+        mark += 0x100;
+        let band = if matches!(opcode, opcode::WRITE | opcode::WRITE_ZEROES) { BUY } else { READ };
+        let marks = Marks { band, units: 1, mark, key: 1, ..Marks::default() };
+        let sqe = marks.put(Sqe::transfer(opcode, 1, 40, 8));
+        let data =
+            if matches!(opcode, opcode::WRITE | opcode::COMPARE) { vec![fill; 4096] } else { Vec::new() };
+        client.io.ask(sqe, data, if opcode == opcode::READ { 4096 } else { 0 });
+        status::code(client.io.answer().1)
+    };
+    assert_eq!(run(opcode::WRITE, 7), status::SUCCESS);
+    assert_eq!(run(opcode::COMPARE, 7), status::SUCCESS);
+    assert_eq!(run(opcode::COMPARE, 8), status::COMPARE_FAILURE);
+    assert_eq!(run(opcode::WRITE_ZEROES, 0), status::SUCCESS);
+    assert_eq!(run(opcode::COMPARE, 0), status::SUCCESS);
+    let counts = gateway.counts();
+    assert_eq!(counts["scrapped"], 0, "{counts}");
+}
+
 /// The client program, as a new user runs it.
 #[test]
 fn the_client_program_drives_a_gateway() {
