Marks are their host's: equal marks of two hosts are two commands

Need: a repeat is told by the host's identity and its mark; the targets' group knew the mark alone, so another host's equal mark was dropped as a repeat and its write lost. Change: the gateway tells a tag of the host beside the mark. Result: a repeat after a reconnect has no effect, another host's equal mark has; a case for both.

--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -19,7 +19,7 @@
 use quaypath::types::*;
 use quaypath_nvme::admin::{plain, Do, Group, Kind, Record, View};
 use quaypath_nvme::association::Associations;
-use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, Told};
+use quaypath_nvme::command::{host_tag, opcode, Cqe, Marks, Sqe, Told};
 use quaypath_nvme::controller::{self, Controller};
 use quaypath_nvme::host::{self, Host};
 use quaypath_nvme::{status, BLOCK_SIZE};
@@ -739,9 +739,10 @@
             return self.admin(connection, &sqe);
         }
         self.associations.heard(self.now, connection);
-        if !self.associations.of(connection).is_some_and(|(association, _)| association.admin.serves()) {
+        let of = self.associations.of(connection).filter(|(association, _)| association.admin.serves());
+        let Some(host) = of.map(|(association, _)| host_tag(&association.host)) else {
             return self.respond(connection, sqe.cid, status::COMMAND_SEQUENCE | status::DNR, 0, &[]);
-        }
+        };
         // Nothing is held here that a flush could make durable: a write is answered after its node has it.
         if sqe.opcode == opcode::FLUSH {
             return self.respond(connection, sqe.cid, status::SUCCESS, 0, &[]);
@@ -805,7 +806,7 @@
             units,
             outer: self.now + budget,
             sqe,
-            marks: Marks { band: band as u8 + 1, units: units as u8, mark, ..marks },
+            marks: Marks { band: band as u8 + 1, units: units as u8, mark, host, ..marks },
             data: Rc::new(data),
             read,
             shots: 0,
--- a/crates/nvme/src/command.rs
+++ b/crates/nvme/src/command.rs
@@ -217,6 +217,9 @@
     pub initiators: u16,
     /// Number of the shot, from 0.
     pub shot: u8,
+    /// Tag of the host that the mark is of, 24 bits ([`host_tag`]): two hosts may well use the same marks. Gateway to
+    /// target only.
+    pub host: u32,
     /// Mark against repeats, the same in every shot of a transaction; 0 where the host gives none.
     pub mark: u64,
     /// Key that ordered bands take turns by; 0: the extent.
@@ -226,10 +229,10 @@
 }
 
 impl Marks {
-    /// Dword 2: band, units, initiators. Dword 3, low byte: shot. MPTR: mark. Dword 14: key. Dword 15: budget.
+    /// Dword 2: band, units, initiators. Dword 3: shot, then the host's tag. MPTR: mark. Dword 14: key. Dword 15: budget.
     pub fn put(&self, mut sqe: Sqe) -> Sqe {
         sqe.cdw2 = u32::from(self.band) | u32::from(self.units) << 8 | u32::from(self.initiators) << 16;
-        sqe.cdw3 = u32::from(self.shot);
+        sqe.cdw3 = u32::from(self.shot) | self.host << 8;
         sqe.mptr = self.mark;
         sqe.cdw[4] = self.key;
         sqe.cdw[5] = self.budget_ms;
@@ -242,6 +245,7 @@
             units: (sqe.cdw2 >> 8) as u8,
             initiators: (sqe.cdw2 >> 16) as u16,
             shot: sqe.cdw3 as u8,
+            host: sqe.cdw3 >> 8,
             mark: sqe.mptr,
             key: sqe.cdw[4],
             budget_ms: sqe.cdw[5],
@@ -271,3 +275,9 @@
         Told { latency: f64::from(cqe.dw0 & 0xffff) / 1e4, used: (cqe.dw0 >> 16) as u16, others: cqe.dw1 }
     }
 }
+
+/// Tag of a host by its name: 24 bits of its CRC32C. What a tag is for forgets within seconds, so two of a handful of
+/// hosts that share one would have to use the same mark at the same time.
+pub fn host_tag(name: &str) -> u32 {
+    crc32c::crc32c(name.as_bytes()) >> 8
+}
--- a/crates/nvme/tests/wire.rs
+++ b/crates/nvme/tests/wire.rs
@@ -93,8 +93,9 @@
     fn marks_and_told_survive_the_wire(
         band in any::<u8>(), units in any::<u8>(), initiators in any::<u16>(), shot in any::<u8>(),
         mark in any::<u64>(), key in any::<u32>(), budget_ms in any::<u32>(), others in any::<u32>(),
+        host in 0..1u32 << 24,
     ) {
-        let marks = Marks { band, units, initiators, shot, mark, key, budget_ms };
+        let marks = Marks { band, units, initiators, shot, host, mark, key, budget_ms };
         prop_assert_eq!(Marks::of(&marks.put(Sqe::transfer(opcode::READ, 1, 9, 8))), marks);
         let told = Told { latency: 0.0123, used: 87, others };
         let mut cqe = Cqe::default();
--- a/crates/programs/tests/helper/mod.rs
+++ b/crates/programs/tests/helper/mod.rs
@@ -184,12 +184,11 @@
 }
 
 impl Queue {
-    fn open(address: SocketAddr, number: u16, controller: u16, offer: Offer) -> (Queue, u16) {
+    fn open(address: SocketAddr, number: u16, controller: u16, offer: Offer, name: &str) -> (Queue, u16) {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        let host =
-            Host::start_with(number, QUEUE_SIZE, controller, "nqn.test:gateway", "nqn.test:client:0", offer);
+        let host = Host::start_with(number, QUEUE_SIZE, controller, "nqn.test:gateway", name, offer);
         let mut queue = Queue { stream, host, events: Vec::new() };
         let mut enable = Enable::new(1, false);
         loop {
@@ -262,8 +261,17 @@
     }
 
     pub fn connect_with(address: SocketAddr, offer: Offer) -> Client {
-        let (admin, controller) = Queue::open(address, 0, ANY_CONTROLLER, offer);
-        let (io, _) = Queue::open(address, 1, controller, offer);
+        Self::open(address, offer, "nqn.test:client:0")
+    }
+
+    /// As another host.
+    pub fn connect_as(address: SocketAddr, name: &str) -> Client {
+        Self::open(address, Offer::default(), name)
+    }
+
+    fn open(address: SocketAddr, offer: Offer, name: &str) -> Client {
+        let (admin, controller) = Queue::open(address, 0, ANY_CONTROLLER, offer, name);
+        let (io, _) = Queue::open(address, 1, controller, offer, name);
         Client { admin, io }
     }
 
--- a/crates/programs/tests/path.rs
+++ b/crates/programs/tests/path.rs
@@ -17,7 +17,7 @@
 use quaypath_nvme::status;
 use quaypath_record::{Clock, Writer};
 use quaypath_standins::model::Figures;
-use quaypath_standins::target::{rogue, Options, Target, TAKES};
+use quaypath_standins::target::{rogue, BandRule, Options, Target, TAKES};
 use test_case::test_case;
 
 const SCRAPPED: u16 = status::INTERNAL_ERROR | status::DNR;
@@ -43,6 +43,10 @@
 
 /// A stand-in that keeps data, on this address.
 fn stand_in(listener: TcpListener) -> Target {
+    stand_in_with(listener, Vec::new())
+}
+
+fn stand_in_with(listener: TcpListener, bands: Vec<BandRule>) -> Target {
     let options = Options {
         block: 0,
         zone: "hall-0".into(),
@@ -63,7 +67,7 @@
             young_units: 100.0,
             cancel_stops: true,
         },
-        bands: Vec::new(),
+        bands,
         metering: 0.0,
         nominal: Arc::default(),
         volumes: Arc::new(BTreeMap::from([(1, 1 << 20), (2, 1 << 20)])),
@@ -357,6 +361,34 @@
     assert_eq!(counts["scrapped"], 0, "{counts}");
 }
 
+/// A mark is its host's: another host's equal mark is another command, the same host's, after a reconnect, a repeat.
+#[test]
+fn a_repeat_is_told_by_host_and_mark() {
+    let target =
+        stand_in_with(bound(), vec![BandRule::default(), BandRule { tagged: Some(("all".into(), 60.0)) }]);
+    let (gateway, mut client) = one(&Shape::default(), target.node.parse().unwrap());
+    settled(&mut client);
+    let write = |client: &mut Client, slba: u64, fill: u8| {
+        let sqe = Client::sqe(BUY, 1, 0x100, 8);
+        let sqe = Sqe { cdw: [slba as u32, 0, 7, 0, sqe.cdw[4], sqe.cdw[5]], ..sqe };
+        client.io.ask(sqe, vec![fill; 4096], 0);
+        assert_eq!(client.io.answer().1, status::SUCCESS);
+    };
+    write(&mut client, 0, 1);
+    drop(client);
+    write(&mut Client::connect(gateway.address), 0, 2);
+    write(&mut Client::connect_as(gateway.address, "nqn.test:other:0"), 8, 3);
+    let mut last = Client::connect(gateway.address);
+    let mut same = |slba: u64, fill: u8| {
+        use quaypath_nvme::command::{opcode, Marks};
+        let sqe = Marks { band: READ, ..Marks::default() }.put(Sqe::transfer(opcode::COMPARE, 1, slba, 8));
+        last.io.ask(sqe, vec![fill; 4096], 0);
+        last.io.answer().1 == status::SUCCESS
+    };
+    assert!(same(0, 1), "the repeat did not take effect");
+    assert!(same(8, 3), "the other host's write did");
+}
+
 /// The client program, as a new user runs it.
 #[test]
 fn the_client_program_drives_a_gateway() {
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -242,6 +242,7 @@
             units: ask.units as u8,
             initiators: ask.initiators as u16,
             shot: 0,
+            host: 0,
             mark,
             key: ask.key,
             budget_ms: (ask.budget * 1e3) as u32,
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -572,7 +572,8 @@
         // The client's tries of one operation share all but the last byte.
         let new = band
             .and_then(|band| band.tagged.as_ref())
-            .is_none_or(|(group, window)| self.options.fleet.first(now, group, mark >> 8, *window));
+            .is_none_or(|(group, window)| // Of one host; another's marks are its own.
+            self.options.fleet.first(now, group, u64::from(marks.host) << 40 ^ mark >> 8, *window));
         let (length, fleet) = (sqe.length(), self.options.fleet.clone());
         let mut brought = Vec::new();
         let status = match sqe.opcode {
