Judge: a start under an old name is told anew; a gateway counts as killed when it is reaped

Two nodes that came up cold under an old address fell over under gateways that knew the process before, not this start; five transactions were taken while a kill was still being carried out on a loaded machine. Change: both in the evidence, with a case on either side.

--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -120,9 +120,10 @@
 
     fn kill(&mut self, record: &Writer) {
         if let Some((mut child, ..)) = self.process.take() {
-            record.put(Event::Killed { t: record.clock.now(), gateway: self.number });
             let _ = child.kill();
             let _ = child.wait();
+            // Until it is reaped it may still have taken something, on a machine that is slow to kill.
+            record.put(Event::Killed { t: record.clock.now(), gateway: self.number });
         }
     }
 
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -271,6 +271,8 @@
                 });
             }
             Event::Up { node, block, zone, .. } => {
+                // Another process, under the same name it may be: nobody was told of this start yet.
+                self.told_of.retain(|(_, known), _| known != node);
                 self.zones.insert(node.clone(), (*block, zone.clone()));
             }
             Event::Fell { t, node } => self.fell(*t, node),
--- a/crates/rules/tests/judged.rs
+++ b/crates/rules/tests/judged.rs
@@ -60,6 +60,10 @@
     Event::Up { t: 0.0, node: node.into(), block, zone: zone.into(), cold: true }
 }
 
+fn up_at(t: f64, node: &str) -> Event {
+    Event::Up { t, node: node.into(), block: 0, zone: "a".into(), cold: true }
+}
+
 fn told(t: f64, node: &str, condition: Listed) -> Event {
     Event::Told { t, gateway: 1, node: node.into(), condition, listed_at: t }
 }
@@ -229,6 +233,19 @@
     assert_eq!(rules(events), broken);
 }
 
+/// Told of a node, which then starts anew under the same name: nobody knew of that start.
+#[test]
+fn a_start_under_the_same_name_is_told_anew() {
+    let mut events = pushed(3);
+    events.push(up_at(4.0, "n"));
+    assert!(rules(events.clone()).is_empty());
+    for gateway in 0..2 {
+        let condition = Listed::Ready;
+        events.push(Event::Told { t: 4.5, gateway, node: "n".into(), condition, listed_at: 4.5 });
+    }
+    assert_eq!(rules(events), [4]);
+}
+
 /// `count` transactions, of which `further` were shot twice, within a look-back.
 fn shots(count: u64, further: u64) -> Vec<Event> {
     let mut events = Vec::new();
