--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -142,6 +142,8 @@
     started: HashMap<u32, f64>,
     listed: HashMap<String, (f64, Listed)>,
     zones: HashMap<String, (i64, String)>,
+    /// When each node started last.
+    ups: HashMap<String, f64>,
     arrivals: HashMap<String, VecDeque<(f64, u32, u32)>>,
     /// Ordered transactions not known to be over, by gateway life and key, in the order taken.
     turns: HashMap<(u32, u32, u64), Vec<u64>>,
@@ -171,6 +173,7 @@
         started: HashMap::new(),
         listed: HashMap::new(),
         zones: HashMap::new(),
+        ups: HashMap::new(),
         arrivals: HashMap::new(),
         turns: HashMap::new(),
         cut_off: HashMap::new(),
@@ -270,17 +273,21 @@
                     shot.ended = Some((*t, *end));
                 });
             }
-            Event::Up { node, block, zone, .. } => {
+            Event::Up { t, node, block, zone, .. } => {
+                self.ups.insert(node.clone(), *t);
                 // Another process, under the same name it may be: nobody was told of this start yet.
                 self.told_of.retain(|(_, known), _| known != node);
                 self.zones.insert(node.clone(), (*block, zone.clone()));
             }
             Event::Fell { t, node } => self.fell(*t, node),
-            Event::Told { t, gateway, node, condition, .. } => {
+            Event::Told { t, gateway, node, condition, listed_at } => {
                 let key = (*gateway, node.clone());
                 if *condition == Listed::Ready {
                     self.told.remove(&key);
-                    self.told_of.entry(key).or_insert(*t);
+                    // A list that still shows the process before says nothing of this start.
+                    if self.ups.get(node).is_none_or(|up| listed_at >= up) {
+                        self.told_of.entry(key).or_insert(*t);
+                    }
                 } else {
                     self.told.entry(key).or_insert(*t);
                 }
--- a/crates/rules/tests/judged.rs
+++ b/crates/rules/tests/judged.rs
@@ -239,6 +239,12 @@
     let mut events = pushed(3);
     events.push(up_at(4.0, "n"));
     assert!(rules(events.clone()).is_empty());
+    // A list that was read later and still shows the process before.
+    for gateway in 0..3 {
+        let condition = Listed::Ready;
+        events.push(Event::Told { t: 4.2, gateway, node: "n".into(), condition, listed_at: 1.0 });
+    }
+    assert!(rules(events.clone()).is_empty());
     for gateway in 0..2 {
         let condition = Listed::Ready;
         events.push(Event::Told { t: 4.5, gateway, node: "n".into(), condition, listed_at: 4.5 });
