--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -543,7 +543,9 @@
         for admin in admins {
             let Some(back) = self.backs.get_mut(&admin) else { continue };
             let since = now - back.kept_at;
-            if back.keeping.is_some() && since > wait {
+            // Half of the time-out: the side that hears nothing gives up before the side that is not heard, whose
+            // own time-out began with the Keep Alive.
+            if back.keeping.is_some() && since > wait / 2.0 {
                 warn!(node = %back.node.0, "closed: the node gave no sign of life for the keep alive time-out");
                 self.counts.keep_alive_lost += 1;
                 self.back_closed(admin);
