--- a/src/brain.rs
+++ b/src/brain.rs
@@ -237,8 +237,8 @@
         }
         let plan = plan.unwrap_or(PlanId(self.set.plans.len() - 1));
         let (initiators, burst) = (initiators.max(1.0), self.set.plans[plan.0].burst);
-        // Empty at the start, unless all was seen from the beginning: a restart must not hand out a second burst.
-        // One that is let go, or first used late, has filled since the start; so it may be let go at all.
+        // Empty at the start, unless all was seen from the beginning: a restart must not hand out a second
+        // burst. One that is let go, or first used late, has filled since the start; so it may be let go.
         let limit = if self.began == Some(true) { burst / initiators } else { 0.0 };
         let filled_at = self.started;
         self.volumes.entry(volume.clone()).or_insert_with(|| {
@@ -318,7 +318,8 @@
         (self.volumes.len(), self.turns.len())
     }
 
-    /// Against accounts without end: volumes whose limit is full again, keys that have rested, old news of others.
+    /// Against accounts without end: volumes whose limit is full again, keys that have rested, old news of
+    /// others.
     fn let_go(&mut self, now: f64) {
         self.swept_at = now;
         let used: BTreeSet<&VolumeId> = self.transactions.values().map(|t| &t.volume).collect();
