One piece of code where two stood: clock, turns, time-outs, decoding, views, accepting, bands

Cause: a reading of the whole change found twins: the clock of the record in the initiator, a turn and a time-out written again by the register's client, both machines' decode loops, five views that say they have nothing, three answers to a Connect, two accept loops, the groups of tags and zones at targets, a kind's name spelled out though serde knows it, and a channel by hand. Change: each stands once; the hand-made channel is async-channel; a field of the judge that nobody read is gone.

--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -10,12 +10,12 @@
 
 use quaypath_initiator::list::EntryCondition;
 use quaypath_record::{Clock, Event, Writer};
-use quaypath_rules::{Repeat, Scope};
+
 use quaypath_settings::{Day, Deployment, FaultKind};
 use quaypath_standins::client::{self, Clients, Tally};
 use quaypath_standins::model::Figures;
 use quaypath_standins::register::Register;
-use quaypath_standins::target::{self, Fleet, Target};
+use quaypath_standins::target::{self, zone_of, Fleet, Target};
 use rustix::process::{kill_process, Pid, Signal};
 use thiserror::Error;
 use tracing::{debug, info, warn};
@@ -149,10 +149,6 @@
     }
 }
 
-fn zone(block: i64, deployment: &Deployment) -> String {
-    format!("hall-{}", block % i64::from(deployment.zones))
-}
-
 struct Stage<'a> {
     day: &'a Day,
     deployment: &'a Deployment,
@@ -177,17 +173,9 @@
 
     fn target_at(&mut self, block: i64, cold: bool, listener: std::net::TcpListener) -> Result<(), Error> {
         let (fleet, core) = (&self.day.fleet, &self.deployment.core);
-        let zone = zone(block, self.deployment);
-        let tagged = |band: &quaypath_rules::Band| {
-            let group = match band.scope {
-                Scope::All => "all".to_string(),
-                Scope::Zone => zone.clone(),
-                Scope::Cell => format!("cell-{block}"),
-            };
-            (band.repeat == Repeat::Tagged).then_some((group, band.window))
-        };
+        let zone = zone_of(block, self.deployment.zones);
         let bands = self.deployment.book.bands.iter();
-        let bands = bands.map(|band| target::BandRule { tagged: tagged(band) }).collect();
+        let bands = bands.map(|band| target::BandRule::of(band, &zone, block)).collect();
         self.started += 1;
         let options = target::Options {
             block,
@@ -226,8 +214,11 @@
     }
 
     fn fault(&self, kind: FaultKind, on: String, begins: bool) {
-        let named = serde_name(kind);
-        self.record.put(Event::Fault { t: self.record.clock.now(), kind: named, on, begins });
+        let kind = serde_json::to_value(kind)
+            .ok()
+            .and_then(|name| name.as_str().map(String::from))
+            .unwrap_or_default();
+        self.record.put(Event::Fault { t: self.record.clock.now(), kind, on, begins });
     }
 
     fn act(&mut self, act: &Act) -> Result<(), Error> {
@@ -322,24 +313,12 @@
 
     fn unlist(&self, block: i64, condition: EntryCondition, after: f64) {
         if let Some(target) = self.targets.get(&block) {
-            let zone = zone(block, self.deployment);
+            let zone = zone_of(block, self.deployment.zones);
             self.register.list(&target.node, &zone, block, condition, None, after);
         }
     }
 }
 
-fn serde_name(kind: FaultKind) -> String {
-    let text = format!("{kind:?}");
-    let mut name = String::new();
-    for (at, letter) in text.chars().enumerate() {
-        if letter.is_uppercase() && at > 0 {
-            name.push('-');
-        }
-        name.extend(letter.to_lowercase());
-    }
-    name
-}
-
 /// Where a day's record goes in its folder.
 pub fn record_path(folder: &Path) -> PathBuf {
     folder.join("record.jsonl")
--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -17,12 +17,13 @@
 use async_io::Async;
 use nanorand::{Rng, WyRand};
 use quaypath::types::*;
-use quaypath_nvme::admin::{plain, Do, Group, Kind, Record, View};
+use quaypath_nvme::admin::{plain, Do, Group, Kind, View};
 use quaypath_nvme::association::Associations;
 use quaypath_nvme::command::{host_tag, opcode, Cqe, Marks, Sqe, Told};
 use quaypath_nvme::controller::{self, Controller};
 use quaypath_nvme::host::{self, Host};
 use quaypath_nvme::{status, BLOCK_SIZE};
+use quaypath_record::Clock;
 use quaypath_settings::{Deployment, Mode};
 use rustix::ioctl;
 use tracing::{debug, info, warn};
@@ -220,7 +221,7 @@
     core: Box<dyn Core>,
     actions: Actions,
     events: VecDeque<Happened>,
-    clock: net::Clock,
+    clock: Clock,
     now: f64,
     beat_at: f64,
     timers: Wheel<Timer>,
@@ -248,7 +249,7 @@
 
 impl Instance {
     pub fn start(options: &net::Options, executor: &Rc<LocalExecutor<'static>>) -> Rc<RefCell<Instance>> {
-        let (clock, deployment) = (net::Clock::default(), options.deployment.clone());
+        let (clock, deployment) = (Clock::default(), options.deployment.clone());
         let now = clock.now();
         let (list, told) = List::load(&options.list);
         if let Some(told) = told {
@@ -717,10 +718,7 @@
     fn connect(&mut self, connection: u64, queue: u16, controller: u16, host: &str, keep_alive_ms: u32) {
         let given = self.associations.connect(self.now, connection, queue, controller, host, keep_alive_ms);
         let Some(front) = self.fronts.get_mut(&connection) else { return };
-        match given {
-            Ok(controller) => front.machine.accept(controller),
-            Err(status) => front.machine.refuse(status),
-        }
+        front.machine.answer(given);
     }
 
     fn respond(&mut self, connection: u64, cid: u16, status: u16, dw0: u32, data: &[u8]) {
@@ -1331,12 +1329,6 @@
     fn groups(&self) -> Vec<Group> {
         vec![(1, quaypath_nvme::admin::ana::OPTIMIZED, self.deployment.volumes.keys().copied().collect())]
     }
-    fn changes(&self) -> u64 {
-        1
-    }
-    fn discovery(&self) -> Vec<Record> {
-        Vec::new()
-    }
     fn retry_delays(&self) -> [f64; 3] {
         [self.deployment.core.longest_return, 0.0, 0.0]
     }
--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -13,7 +13,7 @@
 use std::path::PathBuf;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -46,26 +46,6 @@
     pub core: crate::core::Make,
 }
 
-/// Seconds since the epoch as of the start, moved on by the monotonic clock: never back, no jumps.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    base: f64,
-    start: Instant,
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64());
-        Clock { base, start: Instant::now() }
-    }
-}
-
-impl Clock {
-    pub fn now(&self) -> f64 {
-        self.base + self.start.elapsed().as_secs_f64()
-    }
-}
-
 /// Wakes one waiting task of the same thread; a word said before the wait is not lost.
 #[derive(Default)]
 pub struct Notify {
@@ -95,8 +75,17 @@
 
 pub type Shared = Rc<RefCell<Instance>>;
 
+/// What is not done within so many seconds has timed out.
+pub async fn within<R>(seconds: f64, done: impl Future<Output = io::Result<R>>) -> io::Result<R> {
+    let late = async {
+        Timer::after(Duration::from_secs_f64(seconds)).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    done.or(late).await
+}
+
 /// One turn: clock, what happened, core, output.
-fn turn<R>(instance: &Shared, act: impl FnOnce(&mut Instance) -> R) -> R {
+pub fn turn<R>(instance: &Shared, act: impl FnOnce(&mut Instance) -> R) -> R {
     let mut this = instance.borrow_mut();
     let before = this.next_timer();
     this.begin_turn();
@@ -297,11 +286,7 @@
         }
         Ok(queues)
     };
-    let late = async {
-        Timer::after(Duration::from_secs_f64(waits.connect)).await;
-        Err(io::Error::from(io::ErrorKind::TimedOut))
-    };
-    let opened: io::Result<Vec<Queue>> = opening.or(late).await;
+    let opened: io::Result<Vec<Queue>> = within(waits.connect, opening).await;
     let Some(this) = instance.upgrade() else { return };
     match opened {
         Ok(queues) => {
@@ -322,13 +307,13 @@
 
 /// What this end offers a node, by the settings.
 fn offer(waits: &quaypath_settings::Connections) -> Offer {
-    let (header_digest, data_digest) = match waits.digests {
-        Digests::None => (false, false),
-        Digests::Header => (true, false),
-        Digests::Data => (false, true),
-        Digests::Both => (true, true),
+    let bits = match waits.digests {
+        Digests::None => 0,
+        Digests::Header => 1,
+        Digests::Data => 2,
+        Digests::Both => 3,
     };
-    let format = Format { header_digest, data_digest, align: 0 };
+    let format = Format::of(bits, 0);
     // Asked for by the operators, so a node that does not take them is not used.
     Offer { format, insist: true, keep_alive_ms: (waits.keep_alive * 1e3) as u32 }
 }
--- a/crates/initiator/src/register.rs
+++ b/crates/initiator/src/register.rs
@@ -18,7 +18,7 @@
 
 use crate::instance::Instance;
 use crate::list::{Call, Entry, EntryCondition, News, NewsScope, MOST_NODES};
-use crate::net::{ask, event, open_admin, Queue};
+use crate::net::{ask, event, open_admin, turn, within, Queue};
 
 /// The well-known name of a discovery subsystem.
 pub const DISCOVERY: &str = "nqn.2014-08.org.nvmexpress.discovery";
@@ -32,14 +32,6 @@
 /// Bytes of the log read at a time, whole records.
 const PIECE: usize = 32 * 1024;
 
-async fn within<R>(seconds: f64, done: impl std::future::Future<Output = io::Result<R>>) -> io::Result<R> {
-    let late = async {
-        Timer::after(Duration::from_secs_f64(seconds)).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    done.or(late).await
-}
-
 /// Follows the register for the life of the instance. Where it must be asked, a call that fails or a connection
 /// that ends is a failed call to the core, which decides when to call again.
 pub async fn follow(instance: Weak<RefCell<Instance>>) {
@@ -93,14 +85,6 @@
     }
 }
 
-fn turn(instance: &crate::net::Shared, act: impl FnOnce(&mut Instance)) {
-    let mut this = instance.borrow_mut();
-    this.begin_turn();
-    act(&mut this);
-    this.finish_turn();
-    this.wake.tell();
-}
-
 /// What ended a wait.
 enum Woken {
     Event(Cqe),
--- a/crates/nvme/src/admin.rs
+++ b/crates/nvme/src/admin.rs
@@ -109,20 +109,32 @@
 /// An ANA group: id, state, namespaces.
 pub type Group = (u32, u8, Vec<u32>);
 
-/// What a controller stands for.
+/// What a controller stands for. What one has not, it need not tell.
 pub trait View {
     fn kind(&self) -> Kind;
     fn subsystem(&self) -> &str;
     /// Active namespaces above `after`, ascending, 1024 at most, with their sizes in logical blocks.
-    fn namespaces(&self, after: u32) -> Vec<(u32, u64)>;
-    fn blocks(&self, nsid: u32) -> Option<u64>;
-    fn groups(&self) -> Vec<Group>;
+    fn namespaces(&self, _after: u32) -> Vec<(u32, u64)> {
+        Vec::new()
+    }
+    fn blocks(&self, _nsid: u32) -> Option<u64> {
+        None
+    }
+    fn groups(&self) -> Vec<Group> {
+        Vec::new()
+    }
     /// Change count of ANA, and of the discovery log.
-    fn changes(&self) -> u64;
+    fn changes(&self) -> u64 {
+        1
+    }
     /// The discovery log's records.
-    fn discovery(&self) -> Vec<Record>;
+    fn discovery(&self) -> Vec<Record> {
+        Vec::new()
+    }
     /// Delays that CRD 1 to 3 stand for, seconds; 0: none.
-    fn retry_delays(&self) -> [f64; 3];
+    fn retry_delays(&self) -> [f64; 3] {
+        [0.0; 3]
+    }
 }
 
 /// State of the association's controller. Every change goes through [`Admin::shift`].
--- a/crates/nvme/src/controller.rs
+++ b/crates/nvme/src/controller.rs
@@ -126,17 +126,7 @@
             return Ok(());
         }
         self.decoder.feed(bytes);
-        let done = loop {
-            match self.decoder.next_pdu() {
-                Ok(Some(pdu)) => {
-                    if let Err(why) = self.take(pdu, events) {
-                        break Err(why);
-                    }
-                }
-                Ok(None) => break Ok(()),
-                Err(why) => break Err(why),
-            }
-        };
+        let done = self.take_all(events);
         if let Err(why) = &done {
             self.shift(State::Closed);
             Pdu::C2hTerm { status: why.status, info: why.info }.encode(&mut self.out);
@@ -144,6 +134,13 @@
         done
     }
 
+    fn take_all(&mut self, events: &mut Vec<Event>) -> Result<(), Refused> {
+        while let Some(pdu) = self.decoder.next_pdu()? {
+            self.take(pdu, events)?;
+        }
+        Ok(())
+    }
+
     fn shift(&mut self, to: State) {
         self.state = to;
     }
@@ -193,6 +190,14 @@
         Ok(())
     }
 
+    /// Answers the Connect as it was decided: a controller's id, or the status that refuses it.
+    pub fn answer(&mut self, given: Result<u16, u16>) {
+        match given {
+            Ok(controller) => self.accept(controller),
+            Err(status) => self.refuse(status),
+        }
+    }
+
     /// Answers the Connect: the queue belongs to this controller.
     pub fn accept(&mut self, controller: u16) {
         if self.state == State::Connecting {
--- a/crates/nvme/src/host.rs
+++ b/crates/nvme/src/host.rs
@@ -198,17 +198,7 @@
             return Ok(());
         }
         self.decoder.feed(bytes);
-        let done = loop {
-            match self.decoder.next_pdu() {
-                Ok(Some(pdu)) => {
-                    if let Err(why) = self.take(pdu, events) {
-                        break Err(why);
-                    }
-                }
-                Ok(None) => break Ok(()),
-                Err(why) => break Err(why),
-            }
-        };
+        let done = self.take_all(events);
         if let Err(why) = &done {
             self.shift(State::Closed);
             Pdu::H2cTerm { status: why.status, info: why.info }.encode(&mut self.out);
@@ -216,6 +206,13 @@
         done
     }
 
+    fn take_all(&mut self, events: &mut Vec<Event>) -> Result<(), Refused> {
+        while let Some(pdu) = self.decoder.next_pdu()? {
+            self.take(pdu, events)?;
+        }
+        Ok(())
+    }
+
     fn shift(&mut self, to: State) {
         self.state = to;
     }
--- a/crates/programs/src/bin/nvme.rs
+++ b/crates/programs/src/bin/nvme.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use quaypath_initiator::net::{ask, open_admin, open_queue, Queue};
+use quaypath_initiator::net::{ask, open_admin, open_queue, within, Queue};
 use quaypath_initiator::register::DISCOVERY;
 use quaypath_nvme::admin::{
     access_groups, ana, discovery_header, discovery_record, get_log, identify, log, namespace_list,
@@ -149,11 +149,7 @@
 
 impl Client {
     fn run<R>(&self, done: impl std::future::Future<Output = std::io::Result<R>>) -> Result<R, String> {
-        let late = async {
-            async_io::Timer::after(std::time::Duration::from_secs_f64(self.wait.clamp(0.01, 3600.0))).await;
-            Err(std::io::Error::from(std::io::ErrorKind::TimedOut))
-        };
-        async_io::block_on(futures_lite::FutureExt::or(done, late)).map_err(|error| {
+        async_io::block_on(within(self.wait.clamp(0.01, 3600.0), done)).map_err(|error| {
             let hint = match error.kind() {
                 std::io::ErrorKind::ConnectionRefused => "; nothing listens there",
                 std::io::ErrorKind::TimedOut => {
@@ -352,13 +348,13 @@
 }
 
 fn run(arguments: &Arguments) -> Result<bool, String> {
-    let (header_digest, data_digest) = match arguments.digests {
-        Digests::None => (false, false),
-        Digests::Header => (true, false),
-        Digests::Data => (false, true),
-        Digests::Both => (true, true),
+    let bits = match arguments.digests {
+        Digests::None => 0,
+        Digests::Header => 1,
+        Digests::Data => 2,
+        Digests::Both => 3,
     };
-    let format = Format { header_digest, data_digest, align: 0 };
+    let format = Format::of(bits, 0);
     let client = |address| Client {
         address,
         offer: Offer { format, insist: true, keep_alive_ms: 0 },
--- a/crates/programs/src/bin/target.rs
+++ b/crates/programs/src/bin/target.rs
@@ -8,10 +8,10 @@
 use clap::Parser;
 use quaypath_programs::{exit, Logs};
 use quaypath_record::{Clock, Writer};
-use quaypath_rules::{Repeat, Scope};
+
 use quaypath_standins::model::Figures;
 use quaypath_standins::serve::Running;
-use quaypath_standins::target::{spawn, BandRule, Faults, Fleet, Options, TAKES};
+use quaypath_standins::target::{spawn, zone_of, BandRule, Faults, Fleet, Options, TAKES};
 
 /// A stand-in for a storage node: takes time for its work, keeps no data. Each line of standard input sets a fault:
 /// `slow TIMES`, `pause SECONDS`, `errors PART`, `lost PART`, `heavy PART`, `resets A_SECOND`, `late SECONDS`, or
@@ -102,15 +102,8 @@
         TcpListener::bind(arguments.listen).map_err(|error| format!("{}: {error}", arguments.listen))?;
     println!("listening {}", listener.local_addr().map_err(|error| error.to_string())?);
     let (block, core) = (arguments.block, &deployment.core);
-    let zone = format!("hall-{}", block.rem_euclid(i64::from(deployment.zones)));
-    let bands = deployment.book.bands.iter().map(|band| {
-        let group = match band.scope {
-            Scope::All => "all".to_string(),
-            Scope::Zone => zone.clone(),
-            Scope::Cell => format!("cell-{block}"),
-        };
-        BandRule { tagged: (band.repeat == Repeat::Tagged).then_some((group, band.window)) }
-    });
+    let zone = zone_of(block, deployment.zones);
+    let bands = deployment.book.bands.iter().map(|band| BandRule::of(band, &zone, block));
     let options = Options {
         block,
         zone: zone.clone(),
--- a/crates/programs/tests/helper/mod.rs
+++ b/crates/programs/tests/helper/mod.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use quaypath_initiator::list::EntryCondition;
-use quaypath_nvme::admin::{Admin, Do as Reply, Group, Kind, Record, View};
+use quaypath_nvme::admin::{Admin, Do as Reply, Kind, View};
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, ANY_CONTROLLER};
 use quaypath_nvme::controller::{Controller, Event as Asked};
 use quaypath_nvme::enable::Enable;
@@ -417,24 +417,6 @@
     fn subsystem(&self) -> &str {
         "nqn.test:peer"
     }
-    fn namespaces(&self, _after: u32) -> Vec<(u32, u64)> {
-        Vec::new()
-    }
-    fn blocks(&self, _nsid: u32) -> Option<u64> {
-        None
-    }
-    fn groups(&self) -> Vec<Group> {
-        Vec::new()
-    }
-    fn changes(&self) -> u64 {
-        1
-    }
-    fn discovery(&self) -> Vec<Record> {
-        Vec::new()
-    }
-    fn retry_delays(&self) -> [f64; 3] {
-        [0.0; 3]
-    }
 }
 
 /// Answers a command of the admin queue as any target does; an Abort with success, whatever became of it.
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -112,7 +112,7 @@
         shot: u32,
         end: ShotEnd,
     },
-    /// A target came up; `warm_after` 0 where it starts warm.
+    /// A target came up; `cold` where at part of its capacity.
     Up {
         t: f64,
         node: String,
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -116,7 +116,6 @@
     left: Option<f64>,
     cut: Option<f64>,
     shots: Vec<Shot>,
-    ran: u32,
 }
 
 impl Asked {
@@ -225,7 +224,6 @@
             left: None,
             cut: None,
             shots: Vec::new(),
-            ran: 0,
         };
         if self.asked.insert(mark, new).is_some() {
             self.breach(Rule::Answered, t, format!("transaction {mark:x} was asked for twice"));
@@ -333,8 +331,7 @@
     }
 
     fn ran(&mut self, t: f64, mark: u64) {
-        let Some(asked) = self.asked.get_mut(&mark) else { return };
-        asked.ran += 1;
+        let Some(asked) = self.asked.get(&mark) else { return };
         let band = &self.book.bands[asked.band];
         if band.repeat == Repeat::Repeatable {
             return;
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -1,10 +1,10 @@
 //! A day: fleet, traffic and troubles by time, with a seed.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{bad, Bad, Deployment};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum FaultKind {
     /// Work takes `size` times as long.
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -8,11 +8,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use quaypath_initiator::instance::SUBSYSTEM;
-use quaypath_initiator::net::{open_admin, open_queue, Notify};
+use quaypath_initiator::net::{open_admin, open_queue, within, Notify};
 use quaypath_initiator::wheel::Wheel;
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe};
 use quaypath_nvme::host::{Event, Host, Offer};
@@ -102,7 +101,7 @@
             let state = Rc::new(RefCell::new(state));
             let gateways = state.borrow().options.gateways.clone();
             for (gateway, address) in gateways {
-                executor.spawn(keep(state.clone(), executor.clone(), gateway, address)).detach();
+                executor.spawn(keep(state.clone(), gateway, address)).detach();
             }
             executor.spawn(ask(state)).detach();
         });
@@ -149,12 +148,8 @@
 type Shared = Rc<RefCell<State>>;
 
 /// Keeps an association with one gateway, made again whenever it ends.
-async fn keep(state: Shared, executor: Rc<LocalExecutor<'static>>, gateway: u32, address: SocketAddr) {
-    let weak = Rc::downgrade(&executor);
-    drop(executor);
+async fn keep(state: Shared, gateway: u32, address: SocketAddr) {
     loop {
-        let Some(executor) = weak.upgrade() else { return };
-        drop(executor);
         let _ = associate(&state, gateway, address).await;
         state.borrow_mut().cut(gateway);
         Timer::after(Duration::from_millis(50)).await;
@@ -169,11 +164,7 @@
         let io = open_queue(address, 1, enable.controller, SUBSYSTEM, &host, offer).await?;
         Ok([admin, io])
     };
-    let late = async {
-        Timer::after(Duration::from_secs(2)).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    let opened: io::Result<_> = opening.or(late).await;
+    let opened: io::Result<_> = within(2.0, opening).await;
     let mut streams = Vec::new();
     for (number, (machine, stream)) in (0..).zip(opened?) {
         streams.push(stream.clone());
--- a/crates/standins/src/register.rs
+++ b/crates/standins/src/register.rs
@@ -9,11 +9,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use quaypath_initiator::list::{Entry, EntryCondition};
 use quaypath_nvme::admin::{ana, log, Do, Group, Kind, Notice, Record, View};
@@ -24,7 +23,7 @@
 use quaypath_record::{Event as Line, Listed, Writer};
 use quaypath_settings::Mode;
 
-use crate::serve::{read_all, Output, Running};
+use crate::serve::{accept, gateway_of, read_all, Output, Running};
 
 /// How often changes that are due are looked for, seconds.
 const LOOK: f64 = 0.01;
@@ -95,7 +94,13 @@
                 noticed: 1,
             };
             let state = Rc::new(RefCell::new(state));
-            executor.spawn(accept(state.clone(), Rc::downgrade(executor), listener)).detach();
+            let (weak, shared) = (Rc::downgrade(executor), state.clone());
+            let taken = move |stream: Rc<Async<TcpStream>>| {
+                if let (Some(executor), Some(number)) = (weak.upgrade(), opened(&shared, stream.clone())) {
+                    executor.spawn(serve(shared.clone(), number, stream)).detach();
+                }
+            };
+            executor.spawn(accept(listener, taken)).detach();
             executor.spawn(notice(state)).detach();
         });
         Ok(Register { address, book, record, _running: running })
@@ -158,33 +163,22 @@
 
 type Shared = Rc<RefCell<State>>;
 
-async fn accept(state: Shared, executor: Weak<LocalExecutor<'static>>, listener: Async<TcpListener>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(Duration::from_millis(20)).await;
-            continue;
-        };
-        let Some(executor) = executor.upgrade() else { return };
-        let mut this = state.borrow_mut();
-        if this.connections.len() >= MOST_CONNECTIONS {
-            continue;
-        }
-        let _ = stream.get_ref().set_nodelay(true);
-        let (number, stream) = (this.next, Rc::new(stream));
-        this.next += 1;
-        let machine = Controller::default();
-        let (output, told) = (Output::default(), BTreeSet::new());
-        this.connections
-            .insert(number, Connection { stream: stream.clone(), machine, output, gateway: 0, told });
-        drop(this);
-        let state = state.clone();
-        executor
-            .spawn(async move {
-                let _ = read_all(&stream, |bytes| state.borrow_mut().read(number, bytes)).await;
-                state.borrow_mut().close(number);
-            })
-            .detach();
+/// A connection that the listener gave; none beyond the bound.
+fn opened(state: &Shared, stream: Rc<Async<TcpStream>>) -> Option<u64> {
+    let mut this = state.borrow_mut();
+    if this.connections.len() >= MOST_CONNECTIONS {
+        return None;
     }
+    let number = this.next;
+    this.next += 1;
+    let (machine, output, told) = (Controller::default(), Output::default(), BTreeSet::new());
+    this.connections.insert(number, Connection { stream, machine, output, gateway: 0, told });
+    Some(number)
+}
+
+async fn serve(state: Shared, number: u64, stream: Rc<Async<TcpStream>>) {
+    let _ = read_all(&stream, |bytes| state.borrow_mut().read(number, bytes)).await;
+    state.borrow_mut().close(number);
 }
 
 async fn notice(state: Shared) {
@@ -208,12 +202,6 @@
     fn subsystem(&self) -> &str {
         quaypath_initiator::register::DISCOVERY
     }
-    fn namespaces(&self, _after: u32) -> Vec<(u32, u64)> {
-        Vec::new()
-    }
-    fn blocks(&self, _nsid: u32) -> Option<u64> {
-        None
-    }
     fn groups(&self) -> Vec<Group> {
         let state = |change: &Change| match change.entry.condition {
             EntryCondition::Ready => ana::OPTIMIZED,
@@ -241,9 +229,6 @@
         };
         self.shown.iter().map(record).collect()
     }
-    fn retry_delays(&self) -> [f64; 3] {
-        [0.0; 3]
-    }
 }
 
 impl State {
@@ -264,11 +249,8 @@
                     let given =
                         self.associations.connect(now, number, queue, controller, &host, keep_alive_ms);
                     let connection = self.connections.get_mut(&number).unwrap();
-                    connection.gateway = host.rsplit(':').next().and_then(|at| at.parse().ok()).unwrap_or(0);
-                    match given {
-                        Ok(controller) => connection.machine.accept(controller),
-                        Err(status) => connection.machine.refuse(status),
-                    }
+                    connection.gateway = gateway_of(&host);
+                    connection.machine.answer(given);
                 }
                 Event::Command { sqe, .. } => self.command(number, &sqe),
                 Event::Terminated { .. } => good = false,
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -3,74 +3,32 @@
 use std::cell::RefCell;
 use std::future::Future;
 use std::io::{self, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 
 /// A running stand-in. Dropping it ends it: its sockets are closed at once, as a killed process's are.
 pub struct Running {
-    stop: Option<async_channel_lite::Sender>,
+    /// Dropped to end it.
+    stop: Option<Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
 
-/// The smallest channel there is: one word, told once, across threads.
-mod async_channel_lite {
-    use std::future::poll_fn;
-    use std::sync::{Arc, Mutex};
-    use std::task::{Poll, Waker};
-
-    #[derive(Default)]
-    struct Shared {
-        told: bool,
-        waker: Option<Waker>,
-    }
-
-    pub struct Sender(Arc<Mutex<Shared>>);
-    pub struct Receiver(Arc<Mutex<Shared>>);
-
-    pub fn new() -> (Sender, Receiver) {
-        let shared = Arc::new(Mutex::new(Shared::default()));
-        (Sender(shared.clone()), Receiver(shared))
-    }
-
-    impl Sender {
-        pub fn tell(self) {
-            let mut shared = self.0.lock().unwrap();
-            shared.told = true;
-            if let Some(waker) = shared.waker.take() {
-                waker.wake();
-            }
-        }
-    }
-
-    impl Receiver {
-        pub async fn wait(self) {
-            poll_fn(|context| {
-                let mut shared = self.0.lock().unwrap();
-                if shared.told {
-                    return Poll::Ready(());
-                }
-                shared.waker = Some(context.waker().clone());
-                Poll::Pending
-            })
-            .await
-        }
-    }
-}
-
 impl Running {
     /// Starts a thread that runs what `make` spawns on its executor until it is told to end.
     pub fn start(name: &str, make: impl FnOnce(&Rc<LocalExecutor<'static>>) + Send + 'static) -> Self {
-        let (stop, stopped) = async_channel_lite::new();
+        let (stop, stopped) = async_channel::bounded::<()>(1);
         let run = move || {
             let executor = Rc::new(LocalExecutor::new());
             make(&executor);
-            async_io::block_on(executor.run(stopped.wait()));
+            let _ = async_io::block_on(executor.run(stopped.recv()));
         };
         let thread = std::thread::Builder::new().name(name.into()).spawn(run).expect("a thread");
         Running { stop: Some(stop), thread: Some(thread) }
@@ -86,7 +44,7 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.stop.take().into_iter().for_each(|stop| stop.tell());
+        drop(self.stop.take());
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
@@ -128,6 +86,24 @@
     }
 }
 
+/// Gives every connection that comes to `taken`; what that does not keep is closed.
+pub async fn accept(listener: Async<TcpListener>, taken: impl Fn(Rc<Async<TcpStream>>)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                taken(Rc::new(stream));
+            }
+            Err(_) => drop(Timer::after(Duration::from_millis(20)).await),
+        }
+    }
+}
+
+/// Number of the gateway in a host name that ends with it; 0 for a host of another kind.
+pub fn gateway_of(host: &str) -> u32 {
+    host.rsplit(':').next().and_then(|number| number.parse().ok()).unwrap_or(0)
+}
+
 /// Reads until the peer closes or `take` says that it is enough.
 pub async fn read_all(stream: &Async<TcpStream>, mut take: impl FnMut(&[u8]) -> bool) -> io::Result<()> {
     let buffer = Rc::new(RefCell::new(vec![0; 64 << 10]));
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,19 +12,20 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use quaypath_initiator::net::Notify;
-use quaypath_nvme::admin::{ana, Do, Group, Kind, Record, View};
+use quaypath_nvme::admin::{ana, Do, Group, Kind, View};
 use quaypath_nvme::association::Associations;
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, Told};
 use quaypath_nvme::controller::{Controller, Event};
 use quaypath_nvme::pdu::{DataPart, Format, Pdu};
 use quaypath_nvme::{status, BLOCK_SIZE};
 use quaypath_record::{Event as Line, ShotEnd, Writer};
+use quaypath_rules::{Band, Repeat, Scope};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
 
 use crate::model::{Figures, Job, Node, Taken};
-use crate::serve::{read_all, Output, Running, Switch};
+use crate::serve::{accept, gateway_of, read_all, Output, Running, Switch};
 
 /// What a target agrees to: any digests, data anywhere.
 pub const TAKES: Format = Format { header_digest: true, data_digest: true, align: 0 };
@@ -162,6 +163,23 @@
     pub tagged: Option<(String, f64)>,
 }
 
+impl BandRule {
+    /// What a rule of the deployment means to the target that holds `block` in `zone`.
+    pub fn of(band: &Band, zone: &str, block: i64) -> BandRule {
+        let group = match band.scope {
+            Scope::All => "all".to_string(),
+            Scope::Zone => zone.to_string(),
+            Scope::Cell => format!("cell-{block}"),
+        };
+        BandRule { tagged: (band.repeat == Repeat::Tagged).then_some((group, band.window)) }
+    }
+}
+
+/// The zone that holds a part of the data.
+pub fn zone_of(block: i64, zones: u32) -> String {
+    format!("hall-{}", block.rem_euclid(i64::from(zones)))
+}
+
 #[derive(Clone)]
 pub struct Options {
     pub block: i64,
@@ -228,7 +246,7 @@
     sqe: Sqe,
     marks: Marks,
     gateway: u32,
-    data: Rc<Vec<u8>>,
+    data: Vec<u8>,
 }
 
 struct Connection {
@@ -286,66 +304,54 @@
         wake: Rc::default(),
     };
     let state = Rc::new(RefCell::new(state));
-    executor.spawn(accept(state.clone(), Rc::downgrade(executor), listener)).detach();
+    let (weak, shared) = (Rc::downgrade(executor), state.clone());
+    let taken = move |stream: Rc<Async<TcpStream>>| {
+        if let (Some(executor), Some(number)) = (weak.upgrade(), opened(&shared, stream.clone())) {
+            executor.spawn(serve(shared.clone(), number, stream)).detach();
+        }
+    };
+    executor.spawn(accept(listener, taken)).detach();
     executor.spawn(work(state)).detach();
 }
 
-async fn accept(state: Shared, executor: Weak<LocalExecutor<'static>>, listener: Async<TcpListener>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(Duration::from_millis(20)).await;
-            continue;
-        };
-        let Some(executor) = executor.upgrade() else { return };
-        let mut this = state.borrow_mut();
-        let refuse = this.faults.lock().unwrap().refuse;
-        if refuse || this.connections.len() >= MOST_CONNECTIONS {
-            continue;
-        }
-        let _ = stream.get_ref().set_nodelay(true);
-        let (number, stream) = (this.next, Rc::new(stream));
-        this.next += 1;
-        let connection = Connection {
-            stream: stream.clone(),
-            machine: Controller::taking(this.options.takes),
-            output: Output::default(),
-            gateway: 0,
-            jobs: HashMap::new(),
-        };
-        this.connections.insert(number, connection);
-        drop(this);
-        executor.spawn(serve(state.clone(), number, stream)).detach();
-    }
+/// A connection that the listener gave; none where a fault or the bound refuses it.
+fn opened(state: &Shared, stream: Rc<Async<TcpStream>>) -> Option<u64> {
+    let mut this = state.borrow_mut();
+    let refuse = this.faults.lock().unwrap().refuse;
+    if refuse || this.connections.len() >= MOST_CONNECTIONS {
+        return None;
+    }
+    let number = this.next;
+    this.next += 1;
+    let connection = Connection {
+        stream,
+        machine: Controller::taking(this.options.takes),
+        output: Output::default(),
+        gateway: 0,
+        jobs: HashMap::new(),
+    };
+    this.connections.insert(number, connection);
+    Some(number)
 }
 
 async fn serve(state: Shared, number: u64, stream: Rc<Async<TcpStream>>) {
+    let faults = state.borrow().faults.clone();
     loop {
         // Deaf: the kernels hold what is sent.
-        let deaf = state.borrow().faults.lock().unwrap().deaf;
-        if !deaf {
+        while faults.lock().unwrap().deaf {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        let mut went_deaf = false;
+        let ended = read_all(&stream, |bytes| {
+            let more = state.borrow_mut().read(number, bytes);
+            went_deaf = more && faults.lock().unwrap().deaf;
+            more && !went_deaf
+        })
+        .await;
+        if ended.is_err() || !went_deaf {
             break;
         }
-        Timer::after(Duration::from_millis(5)).await;
     }
-    let faults = state.borrow().faults.clone();
-    let reading = async {
-        loop {
-            let mut went_deaf = false;
-            let ended = read_all(&stream, |bytes| {
-                let more = state.borrow_mut().read(number, bytes);
-                went_deaf = more && faults.lock().unwrap().deaf;
-                more && !went_deaf
-            })
-            .await;
-            if ended.is_err() || !went_deaf {
-                return;
-            }
-            while faults.lock().unwrap().deaf {
-                Timer::after(Duration::from_millis(5)).await;
-            }
-        }
-    };
-    reading.await;
     state.borrow_mut().close(number);
 }
 
@@ -364,11 +370,6 @@
     }
 }
 
-/// Number of the gateway in a host name that ends with it; 0 for a host of another kind.
-fn gateway_of(host: &str) -> u32 {
-    host.rsplit(':').next().and_then(|number| number.parse().ok()).unwrap_or(0)
-}
-
 impl State {
     fn now(&self) -> f64 {
         self.record.clock.now()
@@ -387,10 +388,7 @@
                         self.associations.connect(now, number, queue, controller, &host, keep_alive_ms);
                     let connection = self.connections.get_mut(&number).unwrap();
                     connection.gateway = gateway_of(&host);
-                    match given {
-                        Ok(controller) => connection.machine.accept(controller),
-                        Err(status) => connection.machine.refuse(status),
-                    }
+                    connection.machine.answer(given);
                 }
                 Event::Command { sqe, data } => self.command(number, sqe, data),
                 Event::Terminated { .. } => good = false,
@@ -421,15 +419,15 @@
         let Some(size) = self.options.volumes.get(&sqe.nsid) else {
             return self.respond(number, refuse(status::INVALID_NAMESPACE), &[]);
         };
-        let end = sqe.slba().checked_add((sqe.length() / BLOCK_SIZE) as u64);
-        if sqe.opcode != opcode::FLUSH && end.is_none_or(|end| end > *size) {
-            return self.respond(number, refuse(status::LBA_RANGE), &[]);
-        }
-        let marks = Marks::of(&sqe);
         // A write is answered when it has taken effect, so there is nothing left to flush.
         if sqe.opcode == opcode::FLUSH {
             return self.respond(number, Cqe { cid: sqe.cid, ..Cqe::default() }, &[]);
         }
+        let end = sqe.slba().checked_add((sqe.length() / BLOCK_SIZE) as u64);
+        if end.is_none_or(|end| end > *size) {
+            return self.respond(number, refuse(status::LBA_RANGE), &[]);
+        }
+        let marks = Marks::of(&sqe);
         let (shot, units) = (u32::from(marks.shot), u32::from(marks.units.max(1)));
         let (node, mark, volume) = (self.name.clone(), marks.mark, sqe.nsid);
         let band = usize::from(marks.band.saturating_sub(1));
@@ -447,7 +445,7 @@
             extent: u64::from(sqe.nsid) << 32 | u64::from(marks.key),
             writes: matches!(sqe.opcode, opcode::WRITE | opcode::WRITE_ZEROES),
             noise: noise.sample(&mut self.chance) * if heavy { 10.0 } else { 1.0 },
-            what: Shot { connection: number, sqe, marks, gateway, data: Rc::new(data) },
+            what: Shot { connection: number, sqe, marks, gateway, data },
         };
         match self.node.take(now, job) {
             (Taken::Held, job) => {
@@ -569,11 +567,11 @@
         let Shot { connection: number, sqe, marks, gateway, data } = job.what;
         let (mark, node) = (marks.mark, self.name.clone());
         let band = self.options.bands.get(usize::from(marks.band.saturating_sub(1)));
-        // The client's tries of one operation share all but the last byte.
-        let new = band
-            .and_then(|band| band.tagged.as_ref())
-            .is_none_or(|(group, window)| // Of one host; another's marks are its own.
-            self.options.fleet.first(now, group, u64::from(marks.host) << 40 ^ mark >> 8, *window));
+        // The client's tries of one operation share all but the last byte; another host's marks are its own.
+        let operation = u64::from(marks.host) << 40 ^ mark >> 8;
+        let tagged = band.and_then(|band| band.tagged.as_ref());
+        let new =
+            tagged.is_none_or(|(group, window)| self.options.fleet.first(now, group, operation, *window));
         let (length, fleet) = (sqe.length(), self.options.fleet.clone());
         let mut brought = Vec::new();
         let status = match sqe.opcode {
@@ -581,7 +579,7 @@
                 brought = fleet.read(sqe.nsid, sqe.slba(), length);
                 status::SUCCESS
             }
-            opcode::COMPARE if fleet.read(sqe.nsid, sqe.slba(), length) != *data => status::COMPARE_FAILURE,
+            opcode::COMPARE if fleet.read(sqe.nsid, sqe.slba(), length) != data => status::COMPARE_FAILURE,
             opcode::WRITE if new && !fleet.write(sqe.nsid, sqe.slba(), &data) => status::INTERNAL_ERROR,
             opcode::WRITE_ZEROES if new && !fleet.write(sqe.nsid, sqe.slba(), &vec![0; length]) => {
                 status::INTERNAL_ERROR
@@ -646,11 +644,9 @@
         if partition {
             return;
         }
-        match connection.output.flush(connection.stream.get_ref()) {
-            Ok(true) => {}
-            // The worker's look every 20 ms writes the rest.
-            Ok(false) => {}
-            Err(_) => self.close(number),
+        // What the kernel does not take now the worker's look every 20 ms writes.
+        if connection.output.flush(connection.stream.get_ref()).is_err() {
+            self.close(number);
         }
     }
 
@@ -698,15 +694,6 @@
     fn groups(&self) -> Vec<Group> {
         vec![(1, ana::OPTIMIZED, self.options.volumes.keys().copied().collect())]
     }
-    fn changes(&self) -> u64 {
-        1
-    }
-    fn discovery(&self) -> Vec<Record> {
-        Vec::new()
-    }
-    fn retry_delays(&self) -> [f64; 3] {
-        [0.0; 3]
-    }
 }
 
 /// Bytes that no controller may send, in one of six ways.
