--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quaypath_initiator::list::EntryCondition;
+use quaypath::types::Condition;
 use quaypath_record::{Clock, Event, Writer};
 
 use quaypath_settings::{Day, Deployment, FaultKind};
@@ -208,7 +208,7 @@
         let target = Target::start(options, listener, self.record.clone()).map_err(io("a target"))?;
         let started = cold.then(|| self.record.clock.now());
         let notice = if cold { fleet.notice * 0.5 } else { 0.0 };
-        self.register.list(&target.node, &zone, block, EntryCondition::Ready, started, notice);
+        self.register.list(&target.node, &zone, block, Condition::Ready, started, notice);
         self.targets.insert(block, target);
         Ok(())
     }
@@ -245,10 +245,10 @@
                 });
                 self.fault(*kind, on, begins);
             }
-            Act::Drain { block } => self.unlist(*block, EntryCondition::Draining, 0.0),
+            Act::Drain { block } => self.unlist(*block, Condition::Draining, 0.0),
             Act::KillNode { block } => {
                 // The register sees a dead process later than a notice.
-                self.unlist(*block, EntryCondition::Gone, self.day.fleet.notice);
+                self.unlist(*block, Condition::Gone, self.day.fleet.notice);
                 self.targets.remove(block);
             }
             Act::Replace { block } => self.target(*block, true)?,
@@ -311,7 +311,7 @@
         }
     }
 
-    fn unlist(&self, block: i64, condition: EntryCondition, after: f64) {
+    fn unlist(&self, block: i64, condition: Condition, after: f64) {
         if let Some(target) = self.targets.get(&block) {
             let zone = zone_of(block, self.deployment.zones);
             self.register.list(&target.node, &zone, block, condition, None, after);
--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -30,7 +30,7 @@
 
 use crate::core::{Action, Actions, Core};
 use crate::index::Index;
-use crate::list::{Call, Known, List, News, NewsScope};
+use crate::list::{Call, Known, List, News};
 use crate::net;
 use crate::outcome::{outcome, Ended, Progress};
 use crate::path::{Act, Event as Went, Path};
@@ -123,7 +123,7 @@
     outer: f64,
     sqe: Sqe,
     marks: Marks,
-    data: Rc<Vec<u8>>,
+    data: Vec<u8>,
     read: usize,
     shots: u32,
     shot: Option<Shot>,
@@ -179,8 +179,8 @@
     queue: VecDeque<Queued>,
     current: Vec<u8>,
     sent: usize,
-    /// Commands whose bytes are in `current`: where each starts and ends there, transaction and shot.
-    leaving: VecDeque<(usize, usize, u64, u32)>,
+    /// Commands whose bytes are in `current`: where each starts and ends there, and its id.
+    leaving: VecDeque<(usize, usize, u16)>,
     shots: HashMap<u16, (u64, u32)>,
     stuck: Stuck,
     used_at: f64,
@@ -315,12 +315,7 @@
     /// Feeds the core all that happened, carries out what it asks for, and writes what is to be written.
     pub fn finish_turn(&mut self) {
         loop {
-            while let Some(event) = self.events.pop_front() {
-                self.feed(event);
-            }
-            while let Some(action) = self.actions.0.pop_front() {
-                self.carry_out(action);
-            }
+            self.hand_over();
             if !self.events.is_empty() {
                 continue;
             }
@@ -329,6 +324,16 @@
         }
     }
 
+    /// To the core what happened, then to the sockets what it asks for, which may make more happen.
+    fn hand_over(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            self.feed(event);
+        }
+        while let Some(action) = self.actions.0.pop_front() {
+            self.carry_out(action);
+        }
+    }
+
     fn feed(&mut self, event: Happened) {
         let (now, out) = (self.now, &mut self.actions);
         let began = Instant::now();
@@ -444,12 +449,7 @@
                 }
             }
             // In order: what one timer brings about comes before the next.
-            while let Some(event) = self.events.pop_front() {
-                self.feed(event);
-            }
-            while let Some(action) = self.actions.0.pop_front() {
-                self.carry_out(action);
-            }
+            self.hand_over();
         }
     }
 
@@ -563,17 +563,12 @@
     // The register.
 
     pub fn news(&mut self, news: &News) {
-        let scope = match news.scope {
-            NewsScope::Changes => ListScope::Changes,
-            NewsScope::Whole => ListScope::Whole,
-            NewsScope::Failed => return self.call_failed(),
-        };
         let known = self.list.take(self.now, news);
         if let Err(error) = self.list.save(&self.list_path) {
             warn!(path = %self.list_path.display(), %error, "the node list is not kept");
         }
-        debug!(revision = news.revision, entries = known.len(), ?scope, "news of the register");
-        self.events.push_back(Happened::List(scope, known));
+        debug!(revision = news.revision, entries = known.len(), "news of the register");
+        self.events.push_back(Happened::List(ListScope::Whole, known));
     }
 
     /// A call failed or the connection to the register went while one may stand.
@@ -807,7 +802,7 @@
             outer: self.now + budget,
             sqe,
             marks: Marks { band: band as u8 + 1, units: units as u8, mark, host, ..marks },
-            data: Rc::new(data),
+            data,
             read,
             shots: 0,
             shot: None,
@@ -967,7 +962,7 @@
         let blocks = (t.sqe.length() / BLOCK_SIZE) as u32;
         let sqe = marks.put(Sqe::transfer(t.sqe.opcode, t.sqe.nsid, t.sqe.slba(), blocks));
         back.used_at = self.now;
-        match back.machine.submit(sqe, t.data.to_vec(), t.read) {
+        match back.machine.submit(sqe, t.data.clone(), t.read) {
             Some((cid, bytes)) => {
                 shot.progress.to(Progress::Queued);
                 shot.at = Some((connection, cid));
@@ -1171,9 +1166,8 @@
     pub fn flush(&mut self, connection: u64) {
         if let Some(front) = self.fronts.get_mut(&connection) {
             let before = front.sent;
-            self.counts.writes += 1;
-            let written = write_out(front.stream.get_ref(), &mut front.machine.out, &mut front.sent);
-            match written {
+            let (out, writes) = (&mut front.machine.out, &mut self.counts.writes);
+            match write_out(front.stream.get_ref(), out, &mut front.sent, writes) {
                 Ok(true) => front.stuck.written(self.now, true, false),
                 Ok(false) => {
                     front.stuck.written(self.now, front.sent > before, true);
@@ -1238,7 +1232,7 @@
                     let Some(one) = back.queue.pop_front() else { break };
                     let start = back.current.len();
                     back.current.extend_from_slice(&one.bytes);
-                    back.leaving.push_back((start, back.current.len(), one.id, one.shot));
+                    back.leaving.push_back((start, back.current.len(), one.cid));
                 }
                 if back.current.is_empty() {
                     return Ok(true);
@@ -1270,12 +1264,12 @@
                 .leaving
                 .iter()
                 .filter(|(start, ..)| *start < sent)
-                .map(|(_, end, id, shot)| (*id, *shot, *end <= sent))
+                .filter_map(|(_, end, cid)| Some((*back.shots.get(cid)?, *end <= sent)))
                 .collect();
-            while back.leaving.front().is_some_and(|(_, end, ..)| *end <= sent) {
+            while back.leaving.front().is_some_and(|(_, end, _)| *end <= sent) {
                 back.leaving.pop_front();
             }
-            for (id, number, whole) in begun {
+            for ((id, number), whole) in begun {
                 let shot = self.open.get_mut(&id).and_then(|t| t.shot.as_mut());
                 let Some(shot) = shot.filter(|shot| shot.number == number) else { continue };
                 let next = if whole { Progress::Out } else { Progress::Leaving };
@@ -1292,12 +1286,13 @@
         let back = self.backs.get_mut(&connection).unwrap();
         let Some(keep) = back.leaving.iter().position(|(start, ..)| *start >= back.sent) else { return };
         let first = back.leaving[keep].0;
-        let cids: HashMap<(u64, u32), u16> = back.shots.iter().map(|(cid, shot)| (*shot, *cid)).collect();
+
         let mut back_again = Vec::new();
-        for (start, end, id, shot) in back.leaving.drain(keep..) {
+        for (start, end, cid) in back.leaving.drain(keep..) {
             let bytes = back.current[start..end].to_vec();
             // A batch is made and unmade within one call, so no shot of it can have ended meanwhile.
-            back_again.push(Queued { id, shot, cid: cids[&(id, shot)], bytes });
+            let (id, shot) = back.shots[&cid];
+            back_again.push(Queued { id, shot, cid, bytes });
         }
         back.current.truncate(first);
         back_again.into_iter().rev().for_each(|one| back.queue.push_front(one));
@@ -1334,9 +1329,12 @@
     }
 }
 
-/// Writes `out` from `sent` on; true when all is out.
-fn write_out(mut stream: &TcpStream, out: &mut Vec<u8>, sent: &mut usize) -> io::Result<bool> {
+/// Writes `out` from `sent` on, and counts the calls; true when all is out.
+fn write_out(
+    mut stream: &TcpStream, out: &mut Vec<u8>, sent: &mut usize, calls: &mut u64,
+) -> io::Result<bool> {
     while *sent < out.len() {
+        *calls += 1;
         match stream.write(&out[*sent..]) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(written) => *sent += written,
--- a/crates/initiator/src/list.rs
+++ b/crates/initiator/src/list.rs
@@ -18,14 +18,6 @@
     Fetch,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NewsScope {
-    Changes,
-    Whole,
-    /// A call failed.
-    Failed,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     /// Address and port.
@@ -33,23 +25,16 @@
     pub zone: String,
     /// Part of the data that it holds.
     pub block: i64,
-    pub condition: EntryCondition,
+    pub condition: Condition,
     /// Seconds since it last started; absent where it started long ago. An age, as clocks of two machines differ.
     pub age: Option<f64>,
     /// Changes with every start.
     pub start: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EntryCondition {
-    Ready,
-    Draining,
-    Gone,
-}
-
+/// The whole list, as of one generation of the register's log.
 #[derive(Clone, Debug, PartialEq)]
 pub struct News {
-    pub scope: NewsScope,
     pub revision: u64,
     pub entries: Vec<Entry>,
 }
@@ -67,7 +52,7 @@
     start: u64,
 }
 
-/// The list as this initiator holds it: changes laid over the whole, starts turned into times of its own clock.
+/// The list as this initiator holds it, starts turned into times of its own clock.
 #[derive(Debug, Default)]
 pub struct List {
     rows: Vec<Row>,
@@ -97,11 +82,9 @@
         self.rows.iter().map(Row::known).collect()
     }
 
-    /// Lays news over the list and gives it in the core's terms, in order.
+    /// Takes a new list and gives it in the core's terms, in order.
     pub fn take(&mut self, now: f64, news: &News) -> Vec<Known> {
-        if news.scope == NewsScope::Whole {
-            self.rows.retain(|row| news.entries.iter().any(|entry| entry.node == row.node));
-        }
+        self.rows.retain(|row| news.entries.iter().any(|entry| entry.node == row.node));
         let mut told = Vec::new();
         for entry in news.entries.iter().take(MOST_NODES) {
             let started = entry.age.map_or(0.0, |age| now - age.clamp(0.0, now));
@@ -109,11 +92,7 @@
             // The same start keeps the time that it was first given: the age comes with a delay that varies.
             let kept = at.map(|at| &self.rows[at]).filter(|row| row.start == entry.start);
             let started = kept.map_or(started, |row| row.started);
-            let condition = match entry.condition {
-                EntryCondition::Ready => Condition::Ready,
-                EntryCondition::Draining => Condition::Draining,
-                EntryCondition::Gone => Condition::Gone,
-            };
+            let condition = entry.condition;
             let row = Row {
                 node: entry.node.clone(),
                 block: entry.block,
@@ -144,25 +123,22 @@
 mod tests {
     use super::*;
 
-    fn entry(node: &str, condition: EntryCondition, age: f64, start: u64) -> Entry {
+    fn entry(node: &str, condition: Condition, age: f64, start: u64) -> Entry {
         let (node, zone) = (node.into(), "a".into());
         Entry { node, zone, block: 1, condition, age: Some(age), start }
     }
 
-    fn news(scope: NewsScope, entries: Vec<Entry>) -> News {
-        News { scope, revision: 1, entries }
+    fn news(entries: Vec<Entry>) -> News {
+        News { revision: 1, entries }
     }
 
     /// A start told twice with different delays must not look like a second start: the core would forget its node.
     #[test]
     fn a_start_keeps_its_time_and_a_new_start_has_a_new_one() {
         let mut list = List::default();
-        let first =
-            list.take(100.0, &news(NewsScope::Whole, vec![entry("n", EntryCondition::Ready, 5.0, 1)]));
-        let again =
-            list.take(110.0, &news(NewsScope::Whole, vec![entry("n", EntryCondition::Ready, 15.3, 1)]));
-        let new =
-            list.take(120.0, &news(NewsScope::Changes, vec![entry("n", EntryCondition::Ready, 0.5, 2)]));
+        let first = list.take(100.0, &news(vec![entry("n", Condition::Ready, 5.0, 1)]));
+        let again = list.take(110.0, &news(vec![entry("n", Condition::Ready, 15.3, 1)]));
+        let new = list.take(120.0, &news(vec![entry("n", Condition::Ready, 0.5, 2)]));
         assert_eq!((first[0].3, again[0].3, new[0].3), (95.0, 95.0, 119.5));
     }
 
@@ -170,9 +146,10 @@
     fn what_is_kept_on_disk_is_what_was_known_and_a_torn_file_is_none() {
         let path = std::env::temp_dir().join(format!("quaypath-list-{}", std::process::id()));
         let mut list = List::default();
-        let drains = entry("m", EntryCondition::Draining, 1.0, 1);
-        list.take(50.0, &news(NewsScope::Whole, vec![entry("n", EntryCondition::Ready, 5.0, 1), drains]));
-        list.take(51.0, &news(NewsScope::Changes, vec![entry("gone", EntryCondition::Gone, 1.0, 1)]));
+        let listed = vec![entry("n", Condition::Ready, 5.0, 1), entry("m", Condition::Draining, 1.0, 1)];
+        list.take(50.0, &news(listed.clone()));
+        list.take(51.0, &news([listed, vec![entry("gone", Condition::Gone, 1.0, 1)]].concat()));
+        assert_eq!(list.known().len(), 2);
         list.save(&path).unwrap();
         assert_eq!(List::load(&path).0.known(), list.known());
         std::fs::write(&path, b"[{\"node\":").unwrap();
--- a/crates/initiator/src/register.rs
+++ b/crates/initiator/src/register.rs
@@ -8,6 +8,7 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
+use quaypath::types::Condition;
 use quaypath_nvme::admin::{
     self, access_groups, ana, discovery_header, discovery_record, get_log, log, plain,
 };
@@ -17,7 +18,7 @@
 use tracing::{debug, warn};
 
 use crate::instance::Instance;
-use crate::list::{Call, Entry, EntryCondition, News, NewsScope, MOST_NODES};
+use crate::list::{Call, Entry, News, MOST_NODES};
 use crate::net::{ask, event, open_admin, turn, within, Queue};
 
 /// The well-known name of a discovery subsystem.
@@ -201,9 +202,9 @@
                 discovery_record(&whole, at).ok_or_else(|| broken("has a record that is not of TCP"))?;
             let group = groups.iter().find(|(id, ..)| *id == u32::from(record.port) + 1);
             let condition = match group.map(|(_, state, _)| *state) {
-                Some(ana::OPTIMIZED) => EntryCondition::Ready,
-                Some(ana::PERSISTENT_LOSS) => EntryCondition::Gone,
-                _ => EntryCondition::Draining,
+                Some(ana::OPTIMIZED) => Condition::Ready,
+                Some(ana::PERSISTENT_LOSS) => Condition::Gone,
+                _ => Condition::Draining,
             };
             entries.push(Entry {
                 node: format!("{}:{}", record.address, record.service),
@@ -214,7 +215,7 @@
                 start: record.start,
             });
         }
-        return Ok(Ok(News { scope: NewsScope::Whole, revision: generation, entries }));
+        return Ok(Ok(News { revision: generation, entries }));
     }
     Err(broken("never stands still"))
 }
--- a/crates/programs/src/bin/day.rs
+++ b/crates/programs/src/bin/day.rs
@@ -1,11 +1,12 @@
 //! `quaypath-day`: runs a day of traffic and troubles on loopback, and judges it.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use quaypath_day::{plan, report, run};
 use quaypath_programs::{exit, Logs};
+use quaypath_settings::Day;
 
 #[derive(Clone, Copy, ValueEnum)]
 enum Form {
@@ -65,22 +66,23 @@
     format: Form,
 }
 
-fn run_day(arguments: Run) -> Result<bool, String> {
-    let (day, deployment) = quaypath_settings::day(&arguments.day).map_err(|error| error.to_string())?;
+/// What a day is run with; the gateway's program stands beside this one.
+fn options(path: &Path, day: &Day, folder: &Path, careless: bool) -> Result<run::Options, String> {
     let beside = std::env::current_exe().map_err(|error| error.to_string())?;
     let gateway = beside.with_file_name("quaypath-gateway");
     if !gateway.exists() {
         return Err(format!("{}: not there; build the whole workspace", gateway.display()));
     }
+    let deployment = path.parent().unwrap_or(Path::new("")).join(&day.deployment);
+    Ok(run::Options { gateway, deployment, folder: folder.into(), careless })
+}
+
+fn run_day(arguments: Run) -> Result<bool, String> {
+    let (day, deployment) = quaypath_settings::day(&arguments.day).map_err(|error| error.to_string())?;
     let own = std::env::temp_dir().join(format!("quaypath-day-{}", std::process::id()));
     let keep = arguments.folder.is_some();
     let folder = arguments.folder.unwrap_or(own);
-    let options = run::Options {
-        gateway,
-        deployment: arguments.day.parent().unwrap_or(std::path::Path::new("")).join(&day.deployment),
-        folder: folder.clone(),
-        careless: arguments.careless,
-    };
+    let options = options(&arguments.day, &day, &folder, arguments.careless)?;
     let (books, memory, tally) = run::run(&day, &deployment, &options).map_err(|error| error.to_string())?;
     let report = report::of_files(&deployment, day.transit, &[run::record_path(&folder)])
         .map_err(|error| error.to_string())?;
@@ -124,18 +126,12 @@
 
 fn storm(arguments: &Storm) -> Result<bool, String> {
     let (day, deployment) = quaypath_settings::day(&arguments.day).map_err(|error| error.to_string())?;
-    let beside = std::env::current_exe().map_err(|error| error.to_string())?;
     let mut broken = Vec::new();
     let mut transactions = 0;
     for seed in arguments.from..arguments.from.saturating_add(arguments.seeds) {
         let storm = plan::storm(&day, seed, arguments.lasts.clamp(1.0, 600.0));
         let folder = std::env::temp_dir().join(format!("quaypath-storm-{}-{seed}", std::process::id()));
-        let options = run::Options {
-            gateway: beside.with_file_name("quaypath-gateway"),
-            deployment: arguments.day.parent().unwrap_or(std::path::Path::new("")).join(&day.deployment),
-            folder: folder.clone(),
-            careless: false,
-        };
+        let options = options(&arguments.day, &day, &folder, false)?;
         let (_, _, tally) = run::run(&storm, &deployment, &options).map_err(|error| error.to_string())?;
         let report = report::of_files(&deployment, day.transit, &[run::record_path(&folder)])
             .map_err(|error| error.to_string())?;
@@ -160,7 +156,7 @@
     Ok(broken.is_empty())
 }
 
-fn show(path: &std::path::Path) -> Result<bool, String> {
+fn show(path: &Path) -> Result<bool, String> {
     let (day, deployment) = quaypath_settings::day(path).map_err(|error| error.to_string())?;
     let asks = plan::traffic(&day, &deployment);
     println!("{}: {} s, {} first tries", day.name, day.lasts, asks.len());
--- a/crates/programs/tests/hard_cases.rs
+++ b/crates/programs/tests/hard_cases.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use helper::*;
-use quaypath_initiator::list::EntryCondition::{Draining, Ready};
+use quaypath::types::Condition::{Draining, Ready};
 use quaypath_nvme::command::{Cqe, Sqe};
 use quaypath_nvme::controller::Event as Asked;
 use quaypath_nvme::pdu::{Decoder, Pdu};
@@ -15,28 +15,10 @@
 use rustix::process::Signal;
 use test_case::test_case;
 
-const SCRAPPED: u16 = status::INTERNAL_ERROR | status::DNR;
-const DECLINED: u16 = status::INTERRUPTED | status::CRD1;
-
-fn one(shape: &Shape, target: &Peer) -> (Gateway, Client) {
-    let gateway = Gateway::start(shape);
-    gateway.list(target.address, 0, Ready);
-    let client = Client::connect(gateway.address);
-    (gateway, client)
-}
-
 fn arrivals(target: &Peer) -> Vec<(u64, u8)> {
     target.arrived.try_iter().collect()
 }
 
-/// Asks until the list has come: before that, the gateway knows no node and declines.
-fn settled(client: &mut Client) {
-    until("the gateway knows its node", || {
-        client.ask(READ, 1, 0xff00, 8);
-        client.io.answer().1 == status::SUCCESS
-    });
-}
-
 /// A node that takes the header of a large write, asks for its data, and dies with half of it.
 #[test]
 fn a_target_that_dies_between_header_and_data_gets_a_purchase_once() {
@@ -100,7 +82,7 @@
 #[test]
 fn an_answer_and_its_time_out_in_one_turn_settle_the_transaction() {
     let target = peer(|_, marks| if marks.mark == 0x100 { Do::Hold } else { Do::Answer(0) });
-    let (gateway, mut client) = one(&Shape { outer: 1.0, ..Shape::default() }, &target);
+    let (gateway, mut client) = one(&Shape { outer: 1.0, ..Shape::default() }, target.address);
     settled(&mut client);
     arrivals(&target);
     client.ask(BUY, 1, 0x100, 8);
@@ -122,7 +104,7 @@
         (0x100, 0) => Do::Close,
         _ => Do::Answer(0),
     });
-    let (gateway, mut client) = one(&Shape::default(), &target);
+    let (gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     arrivals(&target);
     client.ask(band, 1, 0x100, 8);
@@ -136,7 +118,7 @@
 #[test]
 fn a_client_that_leaves_mid_write_leaves_nothing_behind() {
     let target = peer(|_, _| Do::Answer(0));
-    let (gateway, mut client) = one(&Shape::default(), &target);
+    let (gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     arrivals(&target);
     let sqe = Client::sqe(BUY, 1, 0x100, 400);
@@ -163,7 +145,7 @@
 #[test]
 fn a_caller_who_aborts_is_answered_once_and_the_late_answer_is_dropped() {
     let target = peer(|_, marks| if marks.mark == 0x100 { Do::Hold } else { Do::Answer(0) });
-    let (gateway, mut client) = one(&Shape::default(), &target);
+    let (gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     let cid = client.ask(READ, 1, 0x100, 8);
     until("the shot is at the node", || arrivals(&target).iter().any(|(mark, _)| *mark == 0x100));
@@ -259,7 +241,7 @@
 #[test]
 fn two_seconds_without_a_turn_and_everything_at_once() {
     let target = peer(|_, marks| if marks.mark < 0x1000 { Do::Hold } else { Do::Answer(0) });
-    let (gateway, mut client) = one(&Shape { outer: 3.0, ..Shape::default() }, &target);
+    let (gateway, mut client) = one(&Shape { outer: 3.0, ..Shape::default() }, target.address);
     settled(&mut client);
     let mut leaver = Client::connect(gateway.address);
     let held: Vec<u64> = (1..=5).map(|at| at * 0x100).collect();
@@ -332,7 +314,7 @@
 #[test]
 fn more_clients_than_allowed_are_closed_and_the_others_served() {
     let target = peer(|_, _| Do::Answer(0));
-    let (gateway, mut client) = one(&Shape { connections: 8, ..Shape::default() }, &target);
+    let (gateway, mut client) = one(&Shape { connections: 8, ..Shape::default() }, target.address);
     let crowd: Vec<TcpStream> = (0..500).map(|_| TcpStream::connect(gateway.address).unwrap()).collect();
     let closed = crowd.iter().filter(|stream| {
         stream.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
@@ -347,7 +329,7 @@
 #[test_case(&[0, 0, 128, 0, 128, 0, 0, 0, 0, 0]; "half a PDU")]
 fn a_client_that_sends_half_a_pdu_and_stays_is_closed(bytes: &[u8]) {
     let target = peer(|_, _| Do::Answer(0));
-    let (gateway, mut client) = one(&Shape { half_pdu: 0.5, ..Shape::default() }, &target);
+    let (gateway, mut client) = one(&Shape { half_pdu: 0.5, ..Shape::default() }, target.address);
     settled(&mut client);
     let mut stuck = TcpStream::connect(gateway.address).unwrap();
     stuck.write_all(bytes).unwrap();
@@ -364,7 +346,7 @@
     half.truncate(10);
     let target =
         peer(move |_, marks| if marks.mark == 0x100 { Do::Raw(half.clone()) } else { Do::Answer(0) });
-    let (gateway, mut client) = one(&Shape { half_pdu: 0.3, outer: 5.0, ..Shape::default() }, &target);
+    let (gateway, mut client) = one(&Shape { half_pdu: 0.3, outer: 5.0, ..Shape::default() }, target.address);
     settled(&mut client);
     arrivals(&target);
     client.ask(BUY, 1, 0x100, 8);
@@ -377,7 +359,7 @@
 #[test]
 fn garbage_from_a_client_is_told_and_closed() {
     let target = peer(|_, _| Do::Answer(0));
-    let (gateway, mut client) = one(&Shape::default(), &target);
+    let (gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     let mut garbage = TcpStream::connect(gateway.address).unwrap();
     garbage.write_all(&[0x5a; 4096]).unwrap();
@@ -393,7 +375,7 @@
 #[test]
 fn garbage_from_a_target_loses_the_shot_and_nothing_else() {
     let target = peer(|_, marks| if marks.mark == 0x100 { Do::Raw(vec![0x5a; 300]) } else { Do::Answer(0) });
-    let (gateway, mut client) = one(&Shape::default(), &target);
+    let (gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     arrivals(&target);
     client.ask(BUY, 1, 0x100, 8);
@@ -416,7 +398,7 @@
                 }
             },
         );
-    let (gateway, mut client) = one(&Shape::default(), &target);
+    let (gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     arrivals(&target);
     client.ask(BUY, 1, 0x100, 8);
@@ -429,7 +411,7 @@
 #[test]
 fn a_restarted_gateway_serves_by_its_last_list() {
     let target = peer(|_, _| Do::Answer(0));
-    let (mut gateway, mut client) = one(&Shape::default(), &target);
+    let (mut gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     drop(client);
     gateway.restart_alone();
@@ -442,7 +424,7 @@
 #[test]
 fn transactions_over_the_bound_are_turned_away() {
     let target = peer(|_, marks| if marks.mark < 0x1000 { Do::Hold } else { Do::Answer(0) });
-    let (gateway, mut client) = one(&Shape { open: 10, outer: 5.0, ..Shape::default() }, &target);
+    let (gateway, mut client) = one(&Shape { open: 10, outer: 5.0, ..Shape::default() }, target.address);
     settled(&mut client);
     for at in 1..=15u64 {
         client.ask(READ, 1, at * 0x100, 8);
@@ -456,7 +438,7 @@
 #[test]
 fn a_client_that_does_not_read_is_closed_and_the_others_served() {
     let target = peer(|_, _| Do::Answer(0));
-    let (gateway, mut client) = one(&Shape { half_pdu: 0.5, ..Shape::default() }, &target);
+    let (gateway, mut client) = one(&Shape { half_pdu: 0.5, ..Shape::default() }, target.address);
     settled(&mut client);
     let mut greedy = Client::connect(gateway.address);
     let mut asked = 0u64;
@@ -487,7 +469,7 @@
 #[test]
 fn an_idle_connection_is_closed_and_made_again() {
     let target = peer(|_, _| Do::Answer(0));
-    let (gateway, mut client) = one(&Shape { idle: 0.3, ..Shape::default() }, &target);
+    let (gateway, mut client) = one(&Shape { idle: 0.3, ..Shape::default() }, target.address);
     settled(&mut client);
     std::thread::sleep(Duration::from_millis(1200));
     settled(&mut client);
@@ -499,7 +481,7 @@
 #[test]
 fn a_busy_client_is_not_taken_for_a_stuck_one() {
     let target = peer(|_, _| Do::Answer(0));
-    let (gateway, mut client) = one(&Shape { half_pdu: 0.3, ..Shape::default() }, &target);
+    let (gateway, mut client) = one(&Shape { half_pdu: 0.3, ..Shape::default() }, target.address);
     settled(&mut client);
     let start = Instant::now();
     let sqe = Client::sqe(BUY, 1, 0, 16);
--- a/crates/programs/tests/helper/mod.rs
+++ b/crates/programs/tests/helper/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use quaypath_initiator::list::EntryCondition;
+use quaypath::types::Condition;
 use quaypath_nvme::admin::{Admin, Do as Reply, Kind, View};
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, ANY_CONTROLLER};
 use quaypath_nvme::controller::{Controller, Event as Asked};
@@ -24,6 +24,8 @@
 
 pub const READ: u8 = 1;
 pub const BUY: u8 = 2;
+pub const SCRAPPED: u16 = status::INTERNAL_ERROR | status::DNR;
+pub const DECLINED: u16 = status::INTERRUPTED | status::CRD1;
 /// Bounds every wait for a condition; far above what any takes.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -150,7 +152,7 @@
         self.child = child;
     }
 
-    pub fn list(&self, node: SocketAddr, block: i64, condition: EntryCondition) {
+    pub fn list(&self, node: SocketAddr, block: i64, condition: Condition) {
         self.register.list(&node.to_string(), "hall-0", block, condition, None, 0.0);
     }
 
@@ -398,6 +400,22 @@
     machine.respond(Cqe { cid: sqe.cid, status, ..Cqe::default() }, &vec![7; length]);
 }
 
+/// A gateway of this shape with one node listed, and a client of it.
+pub fn one(shape: &Shape, node: SocketAddr) -> (Gateway, Client) {
+    let gateway = Gateway::start(shape);
+    gateway.list(node, 0, Condition::Ready);
+    let client = Client::connect(gateway.address);
+    (gateway, client)
+}
+
+/// Asks until a read is settled: before the list has come, the gateway knows no node and declines.
+pub fn settled(client: &mut Client) {
+    until("the gateway knows its node and the node serves", || {
+        client.ask(READ, 1, 0xff00, 8);
+        client.io.answer().1 == status::SUCCESS
+    });
+}
+
 /// Waits for a condition.
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
--- a/crates/programs/tests/path.rs
+++ b/crates/programs/tests/path.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use helper::*;
-use quaypath_initiator::list::EntryCondition::{Draining, Gone, Ready};
+use quaypath::types::Condition::{Draining, Gone, Ready};
 use quaypath_nvme::command::Sqe;
 use quaypath_nvme::host::Offer;
 use quaypath_nvme::pdu::Format;
@@ -20,23 +20,6 @@
 use quaypath_standins::target::{rogue, BandRule, Options, Target, TAKES};
 use test_case::test_case;
 
-const SCRAPPED: u16 = status::INTERNAL_ERROR | status::DNR;
-const DECLINED: u16 = status::INTERRUPTED | status::CRD1;
-
-fn one(shape: &Shape, target: SocketAddr) -> (Gateway, Client) {
-    let gateway = Gateway::start(shape);
-    gateway.list(target, 0, Ready);
-    let client = Client::connect(gateway.address);
-    (gateway, client)
-}
-
-fn settled(client: &mut Client) {
-    until("the node serves", || {
-        client.ask(READ, 1, 0xff00, 8);
-        client.io.answer().1 == status::SUCCESS
-    });
-}
-
 fn arrivals(target: &Peer) -> Vec<(u64, u8)> {
     target.arrived.try_iter().filter(|(mark, _)| *mark != 0xff00).collect()
 }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -203,10 +203,6 @@
     pub fn now(&self) -> f64 {
         self.base + self.start.elapsed().as_secs_f64()
     }
-
-    pub fn of(&self, at: Instant) -> f64 {
-        self.base + at.saturating_duration_since(self.start).as_secs_f64()
-    }
 }
 
 #[derive(Debug, Error)]
--- a/crates/standins/src/register.rs
+++ b/crates/standins/src/register.rs
@@ -14,7 +14,8 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use quaypath_initiator::list::{Entry, EntryCondition};
+use quaypath::types::Condition;
+use quaypath_initiator::list::Entry;
 use quaypath_nvme::admin::{ana, log, Do, Group, Kind, Notice, Record, View};
 use quaypath_nvme::association::Associations;
 use quaypath_nvme::command::{opcode, Cqe, Sqe};
@@ -56,7 +57,7 @@
         for change in &self.changes[..shown] {
             last.insert(change.port, change.clone());
         }
-        last.retain(|_, change| change.entry.condition != EntryCondition::Gone);
+        last.retain(|_, change| change.entry.condition != Condition::Gone);
         (shown as u64 + 1, last.into_values().collect())
     }
 }
@@ -69,11 +70,11 @@
     _running: Running,
 }
 
-fn listed(condition: EntryCondition) -> Listed {
+fn listed(condition: Condition) -> Listed {
     match condition {
-        EntryCondition::Ready => Listed::Ready,
-        EntryCondition::Draining => Listed::Draining,
-        EntryCondition::Gone => Listed::Gone,
+        Condition::Ready => Listed::Ready,
+        Condition::Draining => Listed::Draining,
+        Condition::Gone => Listed::Gone,
     }
 }
 
@@ -108,8 +109,7 @@
 
     /// The list gets this entry, `after` seconds from now. A node that started long ago has no start time.
     pub fn list(
-        &self, node: &str, zone: &str, block: i64, condition: EntryCondition, started: Option<f64>,
-        after: f64,
+        &self, node: &str, zone: &str, block: i64, condition: Condition, started: Option<f64>, after: f64,
     ) {
         let now = self.record.clock.now();
         let mut book = self.book.lock().unwrap();
@@ -204,9 +204,9 @@
     }
     fn groups(&self) -> Vec<Group> {
         let state = |change: &Change| match change.entry.condition {
-            EntryCondition::Ready => ana::OPTIMIZED,
-            EntryCondition::Draining => ana::INACCESSIBLE,
-            EntryCondition::Gone => ana::PERSISTENT_LOSS,
+            Condition::Ready => ana::OPTIMIZED,
+            Condition::Draining => ana::INACCESSIBLE,
+            Condition::Gone => ana::PERSISTENT_LOSS,
         };
         self.shown.iter().map(|change| (u32::from(change.port) + 1, state(change), Vec::new())).collect()
     }
