Our own load generator: open loop from schedule to result, thinnest path and most of its parts

Need: the rise from 340 toward 1,300 transactions a second has to be tested with arrivals that keep coming when the gateways slow, and latencies counted from when each was meant.

New package `crates/load` and program `quaypath-load`: shapes as an algebra in XML (the one schema), four arrival processes planned as a stream from the seed, the project's own record as a source, a generator free of sockets and clock that holds arrivals in the wheel, counts by band, plan, group and interval in HDR histograms, benefit by the users' reckoning, several generators as one load, results in Parquet with settings and seed, tables, charts, comparison by bootstrap, search for the knee. The wheel takes finer ticks. Settings files more than 32 elements deep are refused before any parser calls itself for them.

--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -324,41 +324,82 @@
     folder.join("record.jsonl")
 }
 
+impl<'a> Stage<'a> {
+    /// Brings up register, targets and gateways.
+    fn up(day: &'a Day, deployment: &'a Deployment, options: &'a Options) -> Result<Stage<'a>, Error> {
+        std::fs::create_dir_all(&options.folder).map_err(io(options.folder.display().to_string()))?;
+        let record = Writer::file(&record_path(&options.folder), Clock::default())?;
+        let listener = target::listener().map_err(io("the register's port"))?;
+        let register = Register::start(deployment.register.mode, listener, record.clone());
+        let nominal =
+            deployment.volumes.iter().map(|(id, volume)| (*id, deployment.nominal[volume.plan])).collect();
+        let mut stage = Stage {
+            day,
+            deployment,
+            options,
+            record: record.clone(),
+            register: register.map_err(io("the register"))?,
+            fleet: Arc::default(),
+            nominal: Arc::new(nominal),
+            volumes: Arc::new(deployment.volumes.iter().map(|(id, volume)| (*id, volume.size)).collect()),
+            targets: BTreeMap::new(),
+            gateways: BTreeMap::new(),
+            started: 0,
+            memory: Memory::new(),
+            looked_at: f64::NEG_INFINITY,
+        };
+        for block in 0..i64::from(day.fleet.nodes) {
+            stage.target(block, false)?;
+        }
+        for number in 0..day.fleet.gateways {
+            // A loopback address of its own, so that nothing takes its port while it is down.
+            let [high, low] = (number as u16 + 1).to_be_bytes();
+            let address = SocketAddr::from(([127, 1, high, low], 0));
+            let mut gateway = Gateway { number, address, process: None, lives: 0 };
+            gateway.start(options, stage.register.address, &record)?;
+            stage.gateways.insert(number, gateway);
+        }
+        Ok(stage)
+    }
+
+    /// Ends the gateways in order; what they counted.
+    fn down(&mut self) -> Books {
+        let books = self.gateways.iter_mut();
+        books.filter_map(|(number, gateway)| Some((*number, gateway.finish()?))).collect()
+    }
+}
+
+/// Keeps a day's fleet up, with no traffic of its own, until `over` says so. `ready` is given the gateways' addresses;
+/// the day's troubles begin when `begins` gives a time on the record's clock, and not before.
+pub fn fleet(
+    day: &Day, deployment: &Deployment, options: &Options, ready: impl FnOnce(&[(u32, SocketAddr)]),
+    begins: impl Fn() -> Option<f64>, over: impl Fn() -> bool,
+) -> Result<Books, Error> {
+    let mut stage = Stage::up(day, deployment, options)?;
+    let addresses: Vec<_> =
+        stage.gateways.iter().map(|(number, gateway)| (*number, gateway.address)).collect();
+    ready(&addresses);
+    let mut acts = script(day).into_iter().peekable();
+    while !over() {
+        let now = stage.record.clock.now();
+        let into = begins().map_or(f64::NEG_INFINITY, |begins| now - begins);
+        while let Some((_, act)) = acts.next_if(|(at, _)| *at <= into) {
+            stage.act(&act)?;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let books = stage.down();
+    let record = stage.record.clone();
+    drop(stage);
+    record.flush()?;
+    Ok(books)
+}
+
 /// Runs the day; gives what the gateways counted, the memory they held and how the clients fared. The record is
 /// in the folder.
 pub fn run(day: &Day, deployment: &Deployment, options: &Options) -> Result<(Books, Memory, Tally), Error> {
-    std::fs::create_dir_all(&options.folder).map_err(io(options.folder.display().to_string()))?;
-    let record = Writer::file(&record_path(&options.folder), Clock::default())?;
-    let listener = target::listener().map_err(io("the register's port"))?;
-    let register = Register::start(deployment.register.mode, listener, record.clone());
-    let nominal =
-        deployment.volumes.iter().map(|(id, volume)| (*id, deployment.nominal[volume.plan])).collect();
-    let mut stage = Stage {
-        day,
-        deployment,
-        options,
-        record: record.clone(),
-        register: register.map_err(io("the register"))?,
-        fleet: Arc::default(),
-        nominal: Arc::new(nominal),
-        volumes: Arc::new(deployment.volumes.iter().map(|(id, volume)| (*id, volume.size)).collect()),
-        targets: BTreeMap::new(),
-        gateways: BTreeMap::new(),
-        started: 0,
-        memory: Memory::new(),
-        looked_at: f64::NEG_INFINITY,
-    };
-    for block in 0..i64::from(day.fleet.nodes) {
-        stage.target(block, false)?;
-    }
-    for number in 0..day.fleet.gateways {
-        // A loopback address of its own, so that nothing takes its port while it is down.
-        let [high, low] = (number as u16 + 1).to_be_bytes();
-        let address = SocketAddr::from(([127, 1, high, low], 0));
-        let mut gateway = Gateway { number, address, process: None, lives: 0 };
-        gateway.start(options, stage.register.address, &record)?;
-        stage.gateways.insert(number, gateway);
-    }
+    let mut stage = Stage::up(day, deployment, options)?;
+    let record = stage.record.clone();
     let asks = Arc::new(traffic(day, deployment));
     info!(
         transactions = asks.len(),
@@ -399,8 +440,7 @@
     // What still runs at the nodes is given the time to show.
     std::thread::sleep(Duration::from_millis(200));
     drop(clients);
-    let books = stage.gateways.iter_mut().filter_map(|(number, gateway)| Some((*number, gateway.finish()?)));
-    let books = books.collect();
+    let books = stage.down();
     record.flush()?;
     let memory = std::mem::take(&mut stage.memory);
     drop(stage);
--- a/crates/initiator/src/wheel.rs
+++ b/crates/initiator/src/wheel.rs
@@ -1,6 +1,6 @@
 //! Timers that are set by the thousand and never taken back: a hierarchical wheel.
 //!
-//! Six levels of 64 slots over ticks of 1/1024 s. A timer goes into the level that its distance needs and
+//! Six levels of 64 slots over ticks of 1/1024 s, or finer. A timer goes into the level that its distance needs and
 //! moves down as its time comes near, so setting one and ringing one cost the same whatever the number set.
 //! A timer rings at the first tick at or after its time, never before; those of one call ring by time, then in
 //! the order set.
@@ -20,6 +20,7 @@
 
 #[derive(Debug)]
 pub struct Wheel<T> {
+    ticks: f64,
     origin: f64,
     tick: u64,
     order: u64,
@@ -34,7 +35,13 @@
 impl<T> Wheel<T> {
     /// A wheel that starts at `now`, seconds.
     pub fn new(now: f64) -> Self {
+        Self::fine(now, TICKS)
+    }
+
+    /// As [`Wheel::new`], with so many ticks a second; at 65,536 what is later than 12 days is as 12 days.
+    pub fn fine(now: f64, ticks: f64) -> Self {
         Wheel {
+            ticks,
             origin: now,
             tick: 0,
             order: 0,
@@ -55,7 +62,7 @@
 
     /// Sets a timer for the clock time `at`, seconds; later than two years is as two years.
     pub fn set(&mut self, at: f64, what: T) {
-        let tick = ((at - self.origin) * TICKS).ceil().max(0.0) as u64;
+        let tick = ((at - self.origin) * self.ticks).ceil().max(0.0) as u64;
         self.order += 1;
         self.count += 1;
         self.file(Entry { at, tick, order: self.order, what });
@@ -98,12 +105,12 @@
         if !self.due.is_empty() {
             return Some(f64::NEG_INFINITY);
         }
-        self.next_tick().map(|tick| self.origin + tick as f64 / TICKS)
+        self.next_tick().map(|tick| self.origin + tick as f64 / self.ticks)
     }
 
     /// Moves to `now` and hands over what is due.
     pub fn ring(&mut self, now: f64, into: &mut Vec<T>) {
-        let target = ((now - self.origin) * TICKS).floor().max(0.0) as u64;
+        let target = ((now - self.origin) * self.ticks).floor().max(0.0) as u64;
         while let Some(next) = self.next_tick().filter(|next| *next <= target) {
             self.tick = next;
             for level in (0..LEVELS).rev() {
--- a/crates/programs/src/bin/day.rs
+++ b/crates/programs/src/bin/day.rs
@@ -1,11 +1,15 @@
 //! `quaypath-day`: runs a day of traffic and troubles on loopback, and judges it.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use quaypath_day::{plan, report, run};
 use quaypath_programs::{exit, Logs};
+use quaypath_record::Clock;
 use quaypath_settings::Day;
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -30,6 +34,8 @@
     Run(Run),
     /// Runs short days with troubles drawn by seed, one after the other; exits 1 where a rule is broken
     Storm(Storm),
+    /// Keeps the day's fleet up for other programs to load; ends when standard input does
+    Fleet(Fleet),
     /// Prints what the day will bring, without running it
     Show {
         /// The day, XML by quaypath.xsd
@@ -52,6 +58,20 @@
     lasts: f64,
 }
 
+/// Prints `gateway NUMBER ADDRESS` for each gateway, then `ready`. The day's troubles begin with a line `begin` on
+/// standard input, or at a time of the clock with `begin SECONDS`, counted from the epoch.
+#[derive(Args)]
+struct Fleet {
+    /// The day whose fleet and troubles are taken, XML by quaypath.xsd
+    day: PathBuf,
+    /// Where record, lists and logs go; a new folder under the system's temporary one where absent
+    #[arg(long)]
+    folder: Option<PathBuf>,
+    /// Judge the record of the fleet together with these at the end; exits 1 where a rule is broken
+    #[arg(long)]
+    judge: Vec<PathBuf>,
+}
+
 #[derive(Args)]
 struct Run {
     /// The day, XML by quaypath.xsd
@@ -156,6 +176,45 @@
     Ok(broken.is_empty())
 }
 
+fn fleet(arguments: &Fleet) -> Result<bool, String> {
+    let (day, deployment) = quaypath_settings::day(&arguments.day).map_err(|error| error.to_string())?;
+    let own = std::env::temp_dir().join(format!("quaypath-fleet-{}", std::process::id()));
+    let folder = arguments.folder.clone().unwrap_or(own.clone());
+    let options = options(&arguments.day, &day, &folder, false)?;
+    let (begins, over) = (Arc::new(Mutex::new(None)), Arc::new(AtomicBool::new(false)));
+    let (told, closed) = (begins.clone(), over.clone());
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            match line.split_whitespace().collect::<Vec<_>>()[..] {
+                ["begin"] => *told.lock().unwrap() = Some(Clock::default().now()),
+                ["begin", at] if at.parse::<f64>().is_ok() => *told.lock().unwrap() = at.parse().ok(),
+                [] => {}
+                _ => eprintln!("quaypath-day: '{line}' is not 'begin' or 'begin SECONDS'"),
+            }
+        }
+        closed.store(true, Ordering::Relaxed);
+    });
+    let ready = |addresses: &[(u32, SocketAddr)]| {
+        addresses.iter().for_each(|(number, address)| println!("gateway {number} {address}"));
+        println!("ready");
+    };
+    let begins = || *begins.lock().unwrap();
+    run::fleet(&day, &deployment, &options, ready, begins, || over.load(Ordering::Relaxed))
+        .map_err(|error| error.to_string())?;
+    let mut kept = true;
+    if !arguments.judge.is_empty() {
+        let mut paths = vec![run::record_path(&folder)];
+        paths.extend(arguments.judge.iter().cloned());
+        let report = report::of_files(&deployment, day.transit, &paths).map_err(|error| error.to_string())?;
+        println!("{}", report.verdict());
+        kept = report.kept();
+    }
+    if arguments.folder.is_none() && kept {
+        let _ = std::fs::remove_dir_all(&own);
+    }
+    Ok(kept)
+}
+
 fn show(path: &Path) -> Result<bool, String> {
     let (day, deployment) = quaypath_settings::day(path).map_err(|error| error.to_string())?;
     let asks = plan::traffic(&day, &deployment);
@@ -172,6 +231,7 @@
     let done = match arguments.act {
         Act::Run(run) => run_day(run),
         Act::Storm(arguments) => storm(&arguments),
+        Act::Fleet(arguments) => fleet(&arguments),
         Act::Show { day } => show(&day),
     };
     exit("quaypath-day", done)
--- /dev/null
+++ b/crates/programs/src/bin/load.rs
@@ -0,0 +1,561 @@
+//! `quaypath-load`: loads gateways or targets, keeps what it measured, reports and compares it.
+
+use std::io::{BufRead, BufReader, IsTerminal, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdin, Command, ExitCode, Stdio};
+use std::sync::{Arc, Mutex};
+
+use clap::{Args, Parser, Subcommand};
+use futures_lite::StreamExt;
+use indicatif::{ProgressBar, ProgressStyle};
+use quaypath_load::account::{Cell, Key, Kind, Latencies};
+use quaypath_load::generator::Verdict;
+use quaypath_load::join::{gather, Beat, Joined};
+use quaypath_load::knee::{Bar, End, Knee, State, Trial};
+use quaypath_load::net::Glimpse;
+use quaypath_load::parts::{self, LEAD};
+use quaypath_load::recorded::Rows;
+use quaypath_load::result::{Missing, Outcome};
+use quaypath_load::run::{hello, meta, run, share, stream, Fleet, Place, Run};
+use quaypath_load::schedule::{check, peak, Peers, Source};
+use quaypath_load::{chart, report};
+use quaypath_programs::{exit, Logs};
+use quaypath_record::{Clock, Writer};
+use quaypath_settings::Loaded;
+
+/// An open-loop load over NVMe/TCP: arrivals keep coming when the other end slows, latency counts from when each was
+/// meant.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Example:\n  quaypath-load run loads/rush-hour.xml --day days/grown.xml --report /tmp/rush-hour"
+)]
+struct Arguments {
+    #[command(subcommand)]
+    act: Act,
+    #[command(flatten)]
+    logs: Logs,
+}
+
+#[derive(Subcommand)]
+enum Act {
+    /// Loads a fleet; Ctrl-C ends it and keeps what was measured
+    Run(RunArguments),
+    /// Joins a load that another generator gathers, as one part of it
+    Join {
+        /// The load, XML by quaypath.xsd; the same file as the others'
+        load: PathBuf,
+        /// Where the load is gathered
+        address: SocketAddr,
+    },
+    /// Tables and charts of a result
+    Report {
+        result: PathBuf,
+        /// Folder for the charts, SVG
+        #[arg(long)]
+        charts: Option<PathBuf>,
+    },
+    /// Differences of two results, with 95% confidence intervals
+    Compare { first: PathBuf, second: PathBuf },
+    /// Finds the highest rate at which a part of a band's operations is settled in time
+    Knee(KneeArguments),
+    /// Prints what the load will ask, without asking it
+    Show {
+        load: PathBuf,
+        /// Arrivals to print one by one
+        #[arg(long, default_value_t = 10)]
+        first: u64,
+    },
+}
+
+/// What is loaded.
+#[derive(Args, Clone)]
+#[group(required = true, multiple = false)]
+struct At {
+    /// Brings up this day's fleet and plays its troubles, XML by quaypath.xsd
+    #[arg(long)]
+    day: Option<PathBuf>,
+    /// A file of lines `gateway NUMBER ADDRESS` or `target BLOCK ADDRESS`, as quaypath-day fleet prints them
+    #[arg(long)]
+    fleet: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct RunArguments {
+    /// The load, XML by quaypath.xsd
+    load: PathBuf,
+    #[command(flatten)]
+    at: At,
+    /// Folder for result.parquet and the charts
+    #[arg(long)]
+    report: Option<PathBuf>,
+    /// Record of what crossed the sockets, for quaypath-check
+    #[arg(long)]
+    record: Option<PathBuf>,
+    /// Generators that share the load, each a process of its own
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=64))]
+    parts: u32,
+    /// Wait for the other parts here instead of starting them
+    #[arg(long)]
+    gather: Option<SocketAddr>,
+    /// Folder of the fleet's own record and logs, with --day
+    #[arg(long)]
+    folder: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct KneeArguments {
+    /// The load, XML by quaypath.xsd; its rate is the first one tried
+    load: PathBuf,
+    #[command(flatten)]
+    at: At,
+    /// Band that the bar is for
+    #[arg(long)]
+    band: String,
+    /// Part that must be settled in time
+    #[arg(long, default_value_t = 0.99)]
+    part: f64,
+    /// Highest rate tried
+    #[arg(long, default_value_t = 20_000.0)]
+    most: f64,
+    /// Seconds of one trial
+    #[arg(long, default_value_t = 10.0)]
+    lasts: f64,
+    /// Seconds between trials
+    #[arg(long, default_value_t = 2.0)]
+    rest: f64,
+    /// Trials at one rate, at most
+    #[arg(long, default_value_t = 3)]
+    repeats: u32,
+    /// The knee is told to this part of itself
+    #[arg(long, default_value_t = 0.05)]
+    precision: f64,
+}
+
+/// A fleet, and the process that keeps it up if it is ours.
+struct Up {
+    fleet: Fleet,
+    process: Option<(Child, ChildStdin, BufReader<std::process::ChildStdout>)>,
+}
+
+impl Up {
+    fn start(at: &At, folder: Option<&Path>, judge: Option<&Path>) -> Result<Up, String> {
+        if let Some(path) = &at.fleet {
+            let place = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
+            let text = std::fs::read_to_string(path).map_err(|error| place(&error))?;
+            return Ok(Up { fleet: Fleet::parse(&text).map_err(|error| place(&error))?, process: None });
+        }
+        let day = at.day.as_ref().ok_or("neither a day nor a fleet")?;
+        let beside = std::env::current_exe().map_err(|error| error.to_string())?;
+        let program = beside.with_file_name("quaypath-day");
+        let mut command = Command::new(&program);
+        command.arg("fleet").arg(day);
+        if let Some(folder) = folder {
+            command.arg("--folder").arg(folder);
+        }
+        if let Some(record) = judge {
+            command.arg("--judge").arg(record);
+        }
+        command.stdin(Stdio::piped()).stdout(Stdio::piped());
+        let mut child = command.spawn().map_err(|error| format!("{}: {error}", program.display()))?;
+        let (stdin, stdout) =
+            (child.stdin.take().ok_or("no stdin")?, child.stdout.take().ok_or("no stdout")?);
+        let (mut lines, mut text) = (BufReader::new(stdout), String::new());
+        while !text.ends_with("ready\n") {
+            if lines.read_line(&mut text).map_err(|error| error.to_string())? == 0 {
+                let _ = child.wait();
+                return Err(format!("the fleet of {} did not come up", day.display()));
+            }
+        }
+        let fleet = Fleet::parse(&text)?;
+        Ok(Up { fleet, process: Some((child, stdin, lines)) })
+    }
+
+    /// Troubles begin with the load.
+    fn begin(&mut self, at: f64) {
+        if let Some((_, stdin, _)) = &mut self.process {
+            let _ = writeln!(stdin, "begin {at}");
+            let _ = stdin.flush();
+        }
+    }
+
+    /// Ends the fleet; false where it was judged and broke a rule.
+    fn end(&mut self) -> Result<bool, String> {
+        let Some((mut child, stdin, mut lines)) = self.process.take() else { return Ok(true) };
+        drop(stdin);
+        let mut line = String::new();
+        while lines.read_line(&mut line).unwrap_or(0) > 0 {
+            print!("fleet: {line}");
+            line.clear();
+        }
+        let status = child.wait().map_err(|error| error.to_string())?;
+        match status.code() {
+            Some(0) => Ok(true),
+            Some(1) => Ok(false),
+            _ => Err(format!("the fleet ended with {status}")),
+        }
+    }
+}
+
+impl Drop for Up {
+    fn drop(&mut self) {
+        let _ = self.end();
+    }
+}
+
+/// Waits for Ctrl-C or a request to end.
+async fn stopped() {
+    use async_signal::{Signal, Signals};
+    match Signals::new([Signal::Int, Signal::Term]) {
+        Ok(mut signals) => {
+            let _ = signals.next().await;
+        }
+        // Without a handler the signal ends the process as it always does.
+        Err(_) => std::future::pending().await,
+    }
+}
+
+fn load(path: &Path) -> Result<Loaded, String> {
+    let loaded = quaypath_settings::load_of(path).map_err(|error| error.to_string())?;
+    check(&loaded.load, &loaded.deployment).map_err(|why| format!("{}: {why}", path.display()))?;
+    Ok(loaded)
+}
+
+fn beat(glimpse: &Glimpse) -> Beat {
+    let Cell { counts, meant, lag, .. } = &glimpse.recent;
+    let ms = |histogram: &Latencies, q: f64| histogram.value_at_quantile(q) as f64 / 1e3;
+    let ended: u64 = counts.ends().iter().map(|(_, count)| count).sum();
+    Beat {
+        at: glimpse.at,
+        offered: counts.offered,
+        in_time: counts.in_time,
+        settled: counts.settled(),
+        others: ended - counts.settled(),
+        p50: ms(meant, 0.5),
+        p99: ms(meant, 0.99),
+        lag: ms(lag, 0.99),
+        open: glimpse.open,
+    }
+}
+
+/// Seconds between two lines of how it goes.
+const EVERY: f64 = 0.5;
+
+/// One line that is written over itself, on a terminal only.
+#[derive(Clone)]
+struct Live(ProgressBar);
+
+impl Live {
+    fn new(lasts: f64) -> Live {
+        if !std::io::stderr().is_terminal() {
+            return Live(ProgressBar::hidden());
+        }
+        let bar = ProgressBar::new(lasts.ceil() as u64);
+        let style = ProgressStyle::with_template("{pos:>4}/{len} s {bar:16} {msg}");
+        Live(bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar())))
+    }
+
+    fn tell(&self, beat: &Beat) {
+        self.0.set_position(beat.at.max(0.0) as u64);
+        let rate = |count: u64| count as f64 / EVERY;
+        self.0.set_message(format!(
+            "offered {:.0}/s, settled {:.0}/s, other ends {:.0}/s, open {}, p50 {:.1} ms, p99 {:.1} ms, lag {:.2} ms",
+            rate(beat.offered),
+            rate(beat.settled),
+            rate(beat.others),
+            beat.open,
+            beat.p50,
+            beat.p99,
+            beat.lag
+        ));
+    }
+}
+
+fn writer(path: &Option<PathBuf>, clock: Clock) -> Result<Option<Writer>, String> {
+    path.as_ref().map(|path| Writer::file(path, clock).map_err(|error| error.to_string())).transpose()
+}
+
+/// One generator in this process.
+fn alone(
+    path: &Path, loaded: &Loaded, fleet: &Fleet, record: Option<Writer>, begin: impl FnOnce(f64),
+) -> Result<Outcome, String> {
+    let clock = record.as_ref().map_or_else(Clock::default, |record| record.clock);
+    let start = clock.now() + LEAD.min(0.5);
+    begin(start);
+    let live = Live::new(loaded.load.lasts);
+    let given = Run { path, loaded, fleet, clock, record: record.clone(), every: EVERY };
+    let place = Place { part: 0, of: 1, start };
+    let (outcome, rows) = run(given, place, stopped(), move |glimpse| live.tell(&beat(&glimpse)))?;
+    if let Some(record) = record {
+        record.flush().map_err(|error| error.to_string())?;
+    }
+    rows.iter().for_each(told);
+    Ok(outcome)
+}
+
+fn told(rows: &Rows) {
+    println!(
+        "rows of the record: {} taken, {} outside the window, {} put in order, {} too late for it, {} unknown, {} \
+         remapped",
+        rows.taken, rows.outside, rows.reordered, rows.late, rows.unknown, rows.remapped
+    );
+}
+
+/// Several generators, started here or elsewhere.
+fn together(arguments: &RunArguments, loaded: &Loaded, up: &mut Up) -> Result<Outcome, String> {
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let listener = TcpListener::bind(arguments.gather.unwrap_or(any)).map_err(|error| error.to_string())?;
+    let address = listener.local_addr().map_err(|error| error.to_string())?;
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let mut children = Vec::new();
+    if arguments.gather.is_none() {
+        for _ in 0..arguments.parts {
+            let mut command = Command::new(&own);
+            command.arg("join").arg(&arguments.load).arg(address.to_string()).stdin(Stdio::null());
+            children.push(command.spawn().map_err(|error| error.to_string())?);
+        }
+    } else {
+        eprintln!("gathering {} generators at {address}", arguments.parts);
+    }
+    let clock = Clock::default();
+    let of = arguments.parts;
+    let live = Live::new(loaded.load.lasts);
+    let newest: Arc<Mutex<Vec<Beat>>> = Arc::new(Mutex::new(vec![Beat::default(); of as usize]));
+    let mut begun = false;
+    let gathered = gather(listener, hello(loaded), of, &up.fleet.clone(), clock, |part, beat| {
+        if !begun {
+            begun = true;
+            up.begin(clock.now() - beat.at);
+        }
+        let mut newest = newest.lock().unwrap();
+        newest[part] = beat.clone();
+        let mut sum = Beat { at: beat.at, ..Beat::default() };
+        for one in newest.iter() {
+            sum.offered += one.offered;
+            sum.settled += one.settled;
+            sum.others += one.others;
+            sum.open += one.open;
+            sum.p50 = sum.p50.max(one.p50);
+            sum.p99 = sum.p99.max(one.p99);
+            sum.lag = sum.lag.max(one.lag);
+        }
+        live.tell(&sum);
+    });
+    // One that was not taken ends by itself; one that hangs is ours to end.
+    for child in &mut children {
+        if gathered.is_err() {
+            let _ = child.kill();
+        }
+        let _ = child.wait();
+    }
+    let (results, states, start) = gathered?;
+    let mut missing = Vec::new();
+    for (part, state) in states.iter().enumerate() {
+        if let parts::State::Missing { why, at } = state {
+            let source = stream(&arguments.load, &loaded.load, &loaded.deployment, up.fleet.peers())?;
+            let offered = share(source, part as u32, of, 0.0, f64::INFINITY)?;
+            let why = format!("{why}, {at:.1} s into the load");
+            eprintln!(
+                "quaypath-load: generator {part} of {of} is missing: {why}; its share: {offered} arrivals"
+            );
+            missing.push(Missing { part: part as u32, offered, why });
+        }
+    }
+    let mut outcome = match results.is_empty() {
+        false => Outcome::merge(results)?,
+        true => Outcome::of(meta(loaded, &up.fleet, of, start), &Default::default()),
+    };
+    outcome.meta.parts = of;
+    outcome.meta.missing = missing;
+    Ok(outcome)
+}
+
+fn run_load(arguments: &RunArguments) -> Result<bool, String> {
+    let loaded = load(&arguments.load)?;
+    if arguments.parts > 1 && arguments.record.is_some() {
+        return Err("--record goes with one generator only".into());
+    }
+    let judge = arguments.record.as_deref().filter(|_| arguments.at.day.is_some());
+    let mut up = Up::start(&arguments.at, arguments.folder.as_deref(), judge)?;
+    let outcome = if arguments.parts > 1 || arguments.gather.is_some() {
+        together(arguments, &loaded, &mut up)?
+    } else {
+        let record = writer(&arguments.record, Clock::default())?;
+        let fleet = up.fleet.clone();
+        alone(&arguments.load, &loaded, &fleet, record, |start| up.begin(start))?
+    };
+    let kept = up.end()?;
+    if let Some(folder) = &arguments.report {
+        std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+        outcome.write(&folder.join("result.parquet"))?;
+        chart::draw(&outcome, folder)?;
+        println!("result and charts: {}", folder.display());
+    }
+    println!("{}", report::tables(&outcome)?);
+    Ok(kept && outcome.meta.missing.is_empty())
+}
+
+fn join(path: &Path, address: SocketAddr) -> Result<bool, String> {
+    let loaded = load(path)?;
+    let joined = Joined::join(address, hello(&loaded))?;
+    let teller = std::cell::RefCell::new(joined.teller()?);
+    let given = Run {
+        path,
+        loaded: &loaded,
+        fleet: &joined.given.fleet.clone(),
+        clock: Clock::default(),
+        record: None,
+        every: EVERY,
+    };
+    let place = Place { part: joined.given.part, of: joined.given.of, start: joined.start };
+    let (outcome, _) =
+        run(given, place, stopped(), move |glimpse| teller.borrow_mut().beat(&beat(&glimpse)))?;
+    joined.report(&outcome)?;
+    Ok(true)
+}
+
+fn report_on(path: &Path, charts: Option<&Path>) -> Result<bool, String> {
+    let outcome = Outcome::read(path)?;
+    println!("{}", report::tables(&outcome)?);
+    if let Some(folder) = charts {
+        for path in chart::draw(&outcome, folder)? {
+            println!("{}", path.display());
+        }
+    }
+    Ok(true)
+}
+
+/// One trial of a search: the load at this rate.
+fn trial(
+    arguments: &KneeArguments, loaded: &mut Loaded, fleet: &Fleet, rate: f64, nth: u64,
+) -> Result<(Trial, Outcome), String> {
+    let load = &mut loaded.load;
+    load.open.as_mut().ok_or("a search wants a load with <open>")?.rate = rate;
+    load.lasts = arguments.lasts;
+    load.warm_up = load.warm_up.min(arguments.lasts / 4.0);
+    // Another draw for each, or repeats would tell less than they seem to.
+    load.seed = load.seed.wrapping_add(nth);
+    let band = loaded.deployment.band_names.iter().position(|name| *name == arguments.band);
+    let band = band.ok_or(format!("band '{}' is not the deployment's", arguments.band))?;
+    let outcome = alone(&arguments.load, loaded, fleet, None, |_| {})?;
+    if let Some(why) = &outcome.meta.ended_early {
+        return Err(why.clone());
+    }
+    let counts = outcome.cell(Key::new(Kind::Band, band))?.counts;
+    let found = match outcome.verdict()? {
+        Verdict::Limited(why) => Trial::Generator(why),
+        Verdict::Brought if counts.offered == 0 => Trial::Nothing,
+        Verdict::Brought => Trial::Part(counts.goodput()),
+    };
+    Ok((found, outcome))
+}
+
+fn knee(arguments: &KneeArguments) -> Result<bool, String> {
+    let mut loaded = load(&arguments.load)?;
+    let from = loaded.load.open.as_ref().ok_or("a search wants a load with <open>")?.rate;
+    let mut up = Up::start(&arguments.at, None, None)?;
+    let fleet = up.fleet.clone();
+    let mut search = Knee::new(Bar {
+        part: arguments.part,
+        from,
+        most: arguments.most,
+        precision: arguments.precision.clamp(0.001, 0.5),
+        repeats: arguments.repeats.max(1),
+    });
+    let mut nth = 0;
+    while let Some(rate) = search.next() {
+        nth += 1;
+        let (found, outcome) = trial(arguments, &mut loaded, &fleet, rate, nth)?;
+        let all = outcome.cell(Key::new(Kind::All, 0))?;
+        println!(
+            "{rate:.0} a second: {found:?} of {} in time; all bands {:.4}, p99 of all {} ms",
+            arguments.band,
+            all.counts.goodput(),
+            report::milliseconds(all.meant.value_at_quantile(0.99) as f64 / 1e6)
+        );
+        search.took(found);
+        std::thread::sleep(std::time::Duration::from_secs_f64(arguments.rest.clamp(0.0, 600.0)));
+    }
+    up.end()?;
+    let bar = format!("{} of {} in time", arguments.part, arguments.band);
+    let noisy = search.steps.iter().filter(|step| step.noisy).count();
+    if noisy > 0 {
+        println!("at {noisy} rates the repeats' intervals hold the bar: told by their means");
+    }
+    let found = match search.state() {
+        State::Ended(End::Between(low, high)) => {
+            println!("knee: {bar} holds at {low:.0} a second and not at {high:.0}");
+            true
+        }
+        State::Ended(End::Above(rate)) => {
+            println!("no knee: {bar} still holds at {rate:.0} a second, the highest tried");
+            true
+        }
+        State::Ended(End::Below(rate)) => {
+            println!("no knee: {bar} does not hold even at {rate:.1} a second");
+            false
+        }
+        State::Ended(End::Generator { at, held, why }) => {
+            let held = held.map_or("at no rate before".into(), |held| format!("at {held:.0}"));
+            println!("no knee: the generator was the limit at {at:.0} a second ({why}); {bar} held {held}");
+            false
+        }
+        State::Ended(End::Nothing) => {
+            println!("no knee: no operation of band {} was offered", arguments.band);
+            false
+        }
+        State::Doubling | State::Halving => false,
+    };
+    Ok(found)
+}
+
+fn show(path: &Path, first: u64) -> Result<bool, String> {
+    let loaded = load(path)?;
+    let peers = Peers::Gateways(loaded.deployment.core.initiators as u32);
+    let mut source = stream(path, &loaded.load, &loaded.deployment, peers)?;
+    let mut count = 0u64;
+    let mut bands = vec![0u64; loaded.deployment.band_names.len()];
+    let mut last = 0.0;
+    while let Some(arrival) = source.next()? {
+        if count < first {
+            println!(
+                "{:10.4} s  gateway {:3}  volume {:5}  {}  {} units",
+                arrival.at,
+                arrival.peer,
+                arrival.volume,
+                loaded.deployment.band_names[arrival.band],
+                arrival.units
+            );
+        }
+        count += 1;
+        bands[arrival.band] += 1;
+        last = arrival.at;
+    }
+    println!("{count} arrivals, the last at {last:.3} s");
+    for (name, count) in loaded.deployment.band_names.iter().zip(bands) {
+        println!("  {name}: {count}");
+    }
+    if loaded.load.open.is_some() {
+        println!("at most {:.0} a second on average at any time", peak(&loaded.load, &loaded.deployment)?);
+    }
+    Ok(true)
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    arguments.logs.start();
+    let done = match &arguments.act {
+        Act::Run(run) => run_load(run),
+        Act::Join { load, address } => join(load, *address),
+        Act::Report { result, charts } => report_on(result, charts.as_deref()),
+        Act::Compare { first, second } => Outcome::read(first).and_then(|first| {
+            let text = report::compared(&first, &Outcome::read(second)?)?;
+            println!("{text}");
+            Ok(true)
+        }),
+        Act::Knee(knee_of) => knee(knee_of),
+        Act::Show { load, first } => show(load, *first),
+    };
+    exit("quaypath-load", done)
+}
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -77,11 +77,11 @@
 }
 
 #[derive(Clone, Debug, Deserialize)]
-struct Share {
+pub(crate) struct Share {
     #[serde(rename = "@band")]
-    band: String,
+    pub band: String,
     #[serde(rename = "@part")]
-    part: f64,
+    pub part: f64,
 }
 
 /// Traffic times `times`, of one plan or volume or of all.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,8 +1,9 @@
-//! Settings files: deployments and days, in XML, checked against one schema (`quaypath.xsd`) when loaded, then
+//! Settings files: deployments, days and loads, in XML, checked against one schema (`quaypath.xsd`) when loaded, then
 //! for what a schema cannot say, then decoded into plain structs.
 
 mod day;
 mod deployment;
+mod load;
 
 use std::path::{Path, PathBuf};
 
@@ -10,6 +11,10 @@
 
 pub use day::{Abuse, Day, Fault, FaultKind, Fleet, LeadChange, Leave, Surge, Traffic};
 pub use deployment::{BandRule, Connections, Deployment, Digests, Listen, Mode, Placement, Register, Volume};
+pub use load::{
+    Benefit, Bounds, Closed, Draw, DrawKind, Group, Lead, Load, Open, Process, Recorded, Remap, Shape,
+    Shapes, Weighted, MOST_RATE,
+};
 
 /// The schema, as shipped.
 pub const SCHEMA: &str = include_str!("quaypath.xsd");
@@ -53,6 +58,27 @@
     std::fs::read_to_string(path).map_err(io)
 }
 
+/// How deep elements may stand in each other; readers that call themselves for each are kept off more.
+const DEEPEST: usize = 32;
+
+/// Guards the parsers against a file that is one long nest.
+fn nested(path: &Path, text: &str) -> Result<(), Error> {
+    let mut reader = quick_xml::Reader::from_str(text);
+    let mut depth = 0;
+    loop {
+        let xml = |what: String| Error::Xml { path: path.into(), what };
+        match reader.read_event().map_err(|error| xml(error.to_string()))? {
+            quick_xml::events::Event::Start(_) => depth += 1,
+            quick_xml::events::Event::End(_) => depth -= 1,
+            quick_xml::events::Event::Eof => return Ok(()),
+            _ => {}
+        }
+        if depth > DEEPEST {
+            return Err(xml(format!("elements more than {DEEPEST} deep")));
+        }
+    }
+}
+
 /// Checks the text against the schema, and that its root is `root`.
 fn check(path: &Path, text: &str, root: &str) -> Result<(), Error> {
     let schema = uppsala::parse(SCHEMA).expect("the shipped schema is XML");
@@ -78,6 +104,7 @@
     path: &Path, root: &str, decode: impl FnOnce(F) -> Result<T, Bad>,
 ) -> Result<T, Error> {
     let text = text_of(path)?;
+    nested(path, &text)?;
     check(path, &text, root)?;
     let form: F = quick_xml::de::from_str(&text)
         .map_err(|error| Error::Xml { path: path.into(), what: error.to_string() })?;
@@ -98,3 +125,21 @@
     fit.map_err(|Bad { place, found, rule }| Error::Check { path: path.into(), place, found, rule })?;
     Ok((day, deployment))
 }
+
+/// A load, the deployment that it names, and the text of both files as read, to be kept with what is measured.
+pub struct Loaded {
+    pub load: Load,
+    pub deployment: Deployment,
+    pub text: String,
+    pub deployment_text: String,
+}
+
+/// Loads a load and the deployment that it names, relative to the load's own place.
+pub fn load_of(path: &Path) -> Result<Loaded, Error> {
+    let load: Load = self::load(path, "load", load::decode)?;
+    let beside = path.parent().unwrap_or(Path::new("")).join(&load.deployment);
+    let deployment = deployment(&beside)?;
+    let fit = load.fits(&deployment);
+    fit.map_err(|Bad { place, found, rule }| Error::Check { path: path.into(), place, found, rule })?;
+    Ok(Loaded { load, deployment, text: text_of(path)?, deployment_text: text_of(&beside)? })
+}
