--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -5,13 +5,15 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use arrow::array::UInt64Array;
-use arrow::array::{ArrayRef, AsArray, BinaryArray, Float64Array, RecordBatch, StringArray, UInt32Array};
-use arrow::datatypes::{Float64Type, UInt32Type, UInt64Type};
-use parquet::arrow::arrow_reader::ParquetRecordBatchReaderBuilder;
-use parquet::arrow::ArrowWriter;
-use parquet::file::metadata::KeyValue;
+use parquet::basic::{Encoding, LogicalType, Repetition, Type as Physical};
+use parquet::column::reader::ColumnReader;
+use parquet::data_type::{ByteArray, ByteArrayType, DoubleType, Int64Type};
+use parquet::errors::ParquetError;
+use parquet::file::metadata::{KeyValue, ParquetMetaData};
 use parquet::file::properties::WriterProperties;
+use parquet::file::reader::{FileReader, SerializedFileReader};
+use parquet::file::writer::SerializedFileWriter;
+use parquet::schema::types::Type;
 use serde::{Deserialize, Serialize};
 
 use crate::account::{Account, Cell, Counts, Key, Kind, Packed, Served};
@@ -148,12 +150,12 @@
         Ok(Outcome::of(meta, &account))
     }
 
-    fn batch(&self) -> Result<RecordBatch, String> {
+    /// All rows: kind, name, interval and what was measured.
+    fn rows(&self) -> Vec<(&'static str, i64, i64, Packed)> {
         let empty = Packed { counts: Counts::default(), meant: vec![], wire: vec![], lag: vec![] };
-        let cells = self
-            .cells
-            .iter()
-            .map(|(key, packed)| (kind_name(key.kind), key.name, key.interval, packed.clone()));
+        let cells = self.cells.iter().map(|(key, packed)| {
+            (kind_name(key.kind), i64::from(key.name), i64::from(key.interval), packed.clone())
+        });
         let volumes = self.volumes.iter().map(|(id, served)| {
             let counts = Counts {
                 offered: served.offered,
@@ -162,111 +164,120 @@
                 benefit: served.benefit,
                 ..Counts::default()
             };
-            (VOLUME, *id, 0, Packed { counts, ..empty.clone() })
+            (VOLUME, i64::from(*id), 0, Packed { counts, ..empty.clone() })
         });
-        let mut rows: Vec<_> = cells.chain(volumes).collect();
-        let mut columns: Vec<(&str, ArrayRef)> = vec![
-            ("kind", Arc::new(rows.iter().map(|row| Some(row.0)).collect::<StringArray>())),
-            ("name", Arc::new(rows.iter().map(|row| row.1).collect::<UInt32Array>())),
-            ("interval", Arc::new(rows.iter().map(|row| row.2).collect::<UInt32Array>())),
-        ];
-        for (nth, name) in Counts::NAMES.into_iter().enumerate() {
-            let values = rows.iter_mut().map(|row| *row.3.counts.fields()[nth]);
-            columns.push((name, Arc::new(values.collect::<UInt64Array>())));
-        }
-        type Number = fn(&Packed) -> f64;
-        let numbers: [(&str, Number); 2] =
-            [("benefit", |row| row.counts.benefit), ("benefit_due", |row| row.counts.benefit_due)];
-        for (name, of) in numbers {
-            columns.push((name, Arc::new(rows.iter().map(|row| of(&row.3)).collect::<Float64Array>())));
-        }
-        type Bytes = fn(&Packed) -> &[u8];
-        let bytes: [(&str, Bytes); 3] =
-            [("latency", |row| &row.meant), ("from_sent", |row| &row.wire), ("lag", |row| &row.lag)];
-        for (name, of) in bytes {
-            let values = BinaryArray::from_iter_values(rows.iter().map(|row| of(&row.3)));
-            columns.push((name, Arc::new(values)));
-        }
-        RecordBatch::try_from_iter(columns).map_err(|error| error.to_string())
+        cells.chain(volumes).collect()
     }
 
     /// The file's bytes.
     pub fn to_bytes(&self) -> Result<Vec<u8>, String> {
-        let batch = self.batch()?;
-        let text = serde_json::to_string(&self.meta).map_err(|error| error.to_string())?;
+        self.encode().map_err(|error| error.to_string())
+    }
+
+    fn encode(&self) -> Result<Vec<u8>, ParquetError> {
+        let rows = self.rows();
+        let text = serde_json::to_string(&self.meta).map_err(|error| ParquetError::External(error.into()))?;
         let pairs = vec![KeyValue::new(META.to_string(), text)];
-        let properties = WriterProperties::builder().set_key_value_metadata(Some(pairs)).build();
+        let properties = WriterProperties::builder()
+            .set_key_value_metadata(Some(pairs))
+            .set_dictionary_enabled(false)
+            .set_encoding(Encoding::PLAIN)
+            .build();
         let mut bytes = Vec::new();
-        let mut writer = ArrowWriter::try_new(&mut bytes, batch.schema(), Some(properties))
-            .map_err(|error| error.to_string())?;
-        writer.write(&batch).map_err(|error| error.to_string())?;
-        writer.close().map_err(|error| error.to_string())?;
+        let mut writer = SerializedFileWriter::new(&mut bytes, schema()?, Arc::new(properties))?;
+        let mut group = writer.next_row_group()?;
+        let mut nth = 0;
+        while let Some(mut column) = group.next_column()? {
+            match &COLUMNS[nth] {
+                Column::Word(of) => {
+                    let values: Vec<ByteArray> = rows.iter().map(|row| of(row.0, &row.3).into()).collect();
+                    column.typed::<ByteArrayType>().write_batch(&values, None, None)?;
+                }
+                Column::Whole(of) => {
+                    let values: Vec<i64> = rows.iter().map(|row| of(row.1, row.2, &row.3)).collect();
+                    column.typed::<Int64Type>().write_batch(&values, None, None)?;
+                }
+                Column::Number(of) => {
+                    let values: Vec<f64> = rows.iter().map(|row| of(&row.3)).collect();
+                    column.typed::<DoubleType>().write_batch(&values, None, None)?;
+                }
+            }
+            column.close()?;
+            nth += 1;
+        }
+        group.close()?;
+        writer.close()?;
         Ok(bytes)
     }
 
     /// Reads a file's bytes; what does not fit is told by column or metadata.
     pub fn from_bytes(bytes: Vec<u8>) -> Result<Outcome, String> {
-        let builder = ParquetRecordBatchReaderBuilder::try_new(parquet_bytes(bytes))
+        // The library asserts some of what a spoilt file can break; what `sound` does not find of that is caught here,
+        // so that one bad result never ends a gathering of many.
+        std::panic::catch_unwind(|| Self::decode(bytes)).unwrap_or(Err("a spoilt Parquet file".into()))
+    }
+
+    fn decode(bytes: Vec<u8>) -> Result<Outcome, String> {
+        let length = bytes.len() as i64;
+        let file = SerializedFileReader::new(bytes::Bytes::from(bytes))
             .map_err(|error| format!("not a Parquet file: {error}"))?;
-        let pairs = builder.metadata().file_metadata().key_value_metadata();
+        sound(file.metadata(), length)?;
+        let about = file.metadata().file_metadata();
+        let pairs = about.key_value_metadata();
         let text = pairs.and_then(|pairs| pairs.iter().find(|pair| pair.key == META)?.value.clone());
         let text =
             text.ok_or(format!("no '{META}' in the file's metadata: not a result of quaypath-load"))?;
         let meta: Meta = serde_json::from_str(&text).map_err(|error| format!("{META}: {error}"))?;
+        let wanted = schema().map_err(|error| error.to_string())?;
+        if about.schema().get_fields() != wanted.get_fields() {
+            return Err("its columns are not those of a result of this version".into());
+        }
         let mut outcome = Outcome { meta, cells: BTreeMap::new(), volumes: BTreeMap::new() };
-        let reader = builder.build().map_err(|error| error.to_string())?;
-        for batch in reader {
-            outcome.rows(&batch.map_err(|error| error.to_string())?)?;
+        for group in 0..file.num_row_groups() {
+            let group = file.get_row_group(group).map_err(|error| error.to_string())?;
+            let count = usize::try_from(group.metadata().num_rows()).unwrap_or(0);
+            if count > MOST_ROWS {
+                return Err(format!("{count} rows, {MOST_ROWS} at most"));
+            }
+            let mut columns = Vec::new();
+            for nth in 0..COLUMNS.len() {
+                let reader = group.get_column_reader(nth).map_err(|error| error.to_string())?;
+                columns.push(
+                    Values::read(reader, count).map_err(|why| format!("column '{}': {why}", name(nth)))?,
+                );
+            }
+            (0..count)
+                .try_for_each(|at| outcome.take(&columns, at).map_err(|why| format!("row {at}: {why}")))?;
         }
         Ok(outcome)
     }
 
-    fn rows(&mut self, batch: &RecordBatch) -> Result<(), String> {
-        let column = |name: &str| batch.column_by_name(name).ok_or(format!("no column '{name}'"));
-        let wrong = |name: &str| format!("column '{name}' is of another type");
-        let whole = |name: &str| -> Result<&UInt64Array, String> {
-            column(name)?.as_primitive_opt::<UInt64Type>().ok_or(wrong(name))
-        };
-        let short = |name: &str| -> Result<&UInt32Array, String> {
-            column(name)?.as_primitive_opt::<UInt32Type>().ok_or(wrong(name))
-        };
-        let number = |name: &str| -> Result<&Float64Array, String> {
-            column(name)?.as_primitive_opt::<Float64Type>().ok_or(wrong(name))
-        };
-        let bytes = |name: &str| -> Result<&BinaryArray, String> {
-            column(name)?.as_binary_opt::<i32>().ok_or(wrong(name))
-        };
-        let kinds = column("kind")?.as_string_opt::<i32>().ok_or(wrong("kind"))?;
-        let (names, intervals) = (short("name")?, short("interval")?);
-        let counts: Vec<&UInt64Array> = Counts::NAMES.into_iter().map(whole).collect::<Result<_, _>>()?;
-        let (benefit, benefit_due) = (number("benefit")?, number("benefit_due")?);
-        let (meant, wire, lag) = (bytes("latency")?, bytes("from_sent")?, bytes("lag")?);
-        for at in 0..batch.num_rows() {
-            let mut row = Counts {
-                benefit: benefit.value(at),
-                benefit_due: benefit_due.value(at),
-                ..Counts::default()
-            };
-            row.fields().into_iter().zip(&counts).for_each(|(field, column)| *field = column.value(at));
-            let (name, interval) = (names.value(at), intervals.value(at));
-            if kinds.value(at) == VOLUME {
-                let (offered, units) = (row.offered, row.units);
-                let served =
-                    Served { offered, units, units_in_time: row.units_in_time, benefit: row.benefit };
-                self.volumes.insert(name, served);
-                continue;
-            }
-            let kind = kind_of(kinds.value(at)).ok_or(format!("row {at}: kind '{}'", kinds.value(at)))?;
-            let packed = Packed {
-                counts: row,
-                meant: meant.value(at).to_vec(),
-                wire: wire.value(at).to_vec(),
-                lag: lag.value(at).to_vec(),
-            };
-            // Read once here, so that what is kept can be opened later.
-            packed.cell().map_err(|why| format!("row {at}: {why}"))?;
-            self.cells.insert(Key { kind, name, interval }, packed);
+    fn take(&mut self, columns: &[Values], at: usize) -> Result<(), String> {
+        let whole = |nth: usize| columns[nth].whole(at);
+        let mut counts = Counts::default();
+        let many = Counts::NAMES.len();
+        for (nth, field) in counts.fields().into_iter().enumerate() {
+            *field = u64::try_from(whole(3 + nth)?).map_err(|_| format!("{} is below 0", name(3 + nth)))?;
+        }
+        counts.benefit = columns[3 + many].number(at)?;
+        counts.benefit_due = columns[4 + many].number(at)?;
+        let short =
+            |nth: usize| u32::try_from(whole(nth)?).map_err(|_| format!("{} out of range", name(nth)));
+        let (id, interval) = (short(1)?, short(2)?);
+        let kind = String::from_utf8_lossy(columns[0].word(at)?).into_owned();
+        if kind == VOLUME {
+            let (offered, units) = (counts.offered, counts.units);
+            let served =
+                Served { offered, units, units_in_time: counts.units_in_time, benefit: counts.benefit };
+            self.volumes.insert(id, served);
+            return Ok(());
         }
+        let kind = kind_of(&kind).ok_or(format!("kind '{kind}'"))?;
+        let word = |nth: usize| columns[nth].word(at).map(<[u8]>::to_vec);
+        let packed = Packed { counts, meant: word(5 + many)?, wire: word(6 + many)?, lag: word(7 + many)? };
+        // Read once here, so that what is kept can be opened later.
+        packed.cell()?;
+        self.cells.insert(Key { kind, name: id, interval }, packed);
         Ok(())
     }
 
@@ -289,8 +300,160 @@
     }
 }
 
-fn parquet_bytes(bytes: Vec<u8>) -> bytes::Bytes {
-    bytes.into()
+/// Guards the library's asserts: every column lies within the file.
+fn sound(about: &ParquetMetaData, length: i64) -> Result<(), String> {
+    for group in about.row_groups() {
+        for column in group.columns() {
+            let start = column.dictionary_page_offset().unwrap_or(column.data_page_offset());
+            let size = column.compressed_size();
+            let inside = start >= 0 && size >= 0 && start.checked_add(size).is_some_and(|end| end <= length);
+            if !inside || column.data_page_offset() < 0 || column.data_page_offset() > length {
+                return Err(format!(
+                    "a spoilt Parquet file: a column of {size} bytes from {start} of {length}"
+                ));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Most rows of one group.
+const MOST_ROWS: usize = 4_000_000;
+
+/// One column: how its value is got from a row.
+enum Column {
+    Word(fn(&str, &Packed) -> Vec<u8>),
+    Whole(fn(i64, i64, &Packed) -> i64),
+    Number(fn(&Packed) -> f64),
+}
+
+macro_rules! counted {
+    ($($field:ident),*) => { [$(Column::Whole(|_, _, row| row.counts.$field as i64)),*] };
+}
+
+/// Columns in order: kind, name, interval, every count, benefit earned and due, three histograms.
+const COLUMNS: [Column; 24] = {
+    let [a, b, c, d, e, f, g, h, i, j, k, l, m, n, o, p] = counted!(
+        offered,
+        in_time,
+        late,
+        declined,
+        scrapped,
+        left,
+        cut,
+        unanswered,
+        unsent,
+        missed,
+        overrun,
+        lost,
+        tries,
+        stale,
+        units,
+        units_in_time
+    );
+    [
+        Column::Word(|kind, _| kind.as_bytes().to_vec()),
+        Column::Whole(|name, _, _| name),
+        Column::Whole(|_, interval, _| interval),
+        a,
+        b,
+        c,
+        d,
+        e,
+        f,
+        g,
+        h,
+        i,
+        j,
+        k,
+        l,
+        m,
+        n,
+        o,
+        p,
+        Column::Number(|row| row.counts.benefit),
+        Column::Number(|row| row.counts.benefit_due),
+        Column::Word(|_, row| row.meant.clone()),
+        Column::Word(|_, row| row.wire.clone()),
+        Column::Word(|_, row| row.lag.clone()),
+    ]
+};
+
+fn name(nth: usize) -> &'static str {
+    let many = Counts::NAMES.len();
+    match nth {
+        nth if nth < 3 => ["kind", "name", "interval"][nth],
+        nth if nth < 3 + many => Counts::NAMES[nth - 3],
+        nth => ["benefit", "benefit_due", "latency", "from_sent", "lag"][nth - 3 - many],
+    }
+}
+
+fn schema() -> Result<Arc<Type>, ParquetError> {
+    let fields = COLUMNS.iter().enumerate().map(|(nth, column)| {
+        let (physical, logical) = match column {
+            Column::Word(_) if nth == 0 => (Physical::BYTE_ARRAY, Some(LogicalType::String)),
+            Column::Word(_) => (Physical::BYTE_ARRAY, None),
+            Column::Whole(_) => (Physical::INT64, None),
+            Column::Number(_) => (Physical::DOUBLE, None),
+        };
+        let form = Type::primitive_type_builder(name(nth), physical).with_repetition(Repetition::REQUIRED);
+        form.with_logical_type(logical).build().map(Arc::new)
+    });
+    let fields = fields.collect::<Result<Vec<_>, _>>()?;
+    Type::group_type_builder("result").with_fields(fields).build().map(Arc::new)
+}
+
+/// A column as read.
+enum Values {
+    Word(Vec<ByteArray>),
+    Whole(Vec<i64>),
+    Number(Vec<f64>),
+}
+
+impl Values {
+    fn read(reader: ColumnReader, count: usize) -> Result<Values, String> {
+        let wrong = |error: ParquetError| error.to_string();
+        let values = match reader {
+            ColumnReader::ByteArrayColumnReader(mut reader) => {
+                let mut values = Vec::new();
+                reader.read_records(count, None, None, &mut values).map_err(wrong)?;
+                Values::Word(values)
+            }
+            ColumnReader::Int64ColumnReader(mut reader) => {
+                let mut values = Vec::new();
+                reader.read_records(count, None, None, &mut values).map_err(wrong)?;
+                Values::Whole(values)
+            }
+            ColumnReader::DoubleColumnReader(mut reader) => {
+                let mut values = Vec::new();
+                reader.read_records(count, None, None, &mut values).map_err(wrong)?;
+                Values::Number(values)
+            }
+            _ => return Err("of another type".into()),
+        };
+        Ok(values)
+    }
+
+    fn word(&self, at: usize) -> Result<&[u8], String> {
+        match self {
+            Values::Word(values) => values.get(at).map(ByteArray::data).ok_or("ends early".into()),
+            _ => Err("of another type".into()),
+        }
+    }
+
+    fn whole(&self, at: usize) -> Result<i64, String> {
+        match self {
+            Values::Whole(values) => values.get(at).copied().ok_or("ends early".into()),
+            _ => Err("of another type".into()),
+        }
+    }
+
+    fn number(&self, at: usize) -> Result<f64, String> {
+        match self {
+            Values::Number(values) => values.get(at).copied().ok_or("ends early".into()),
+            _ => Err("of another type".into()),
+        }
+    }
 }
 
 #[cfg(test)]
@@ -367,10 +530,17 @@
     /// A file cut anywhere, or with any byte changed, is refused or read, with no panic.
     #[test]
     fn spoilt_files() {
-        let bytes = outcome().to_bytes().unwrap();
-        for at in (0..bytes.len()).step_by(97) {
+        let mut small = outcome();
+        small.cells.retain(|key, _| key.interval < 1);
+        let bytes = small.to_bytes().unwrap();
+        for at in (0..bytes.len()).step_by(197) {
             assert!(Outcome::from_bytes(bytes[..at].to_vec()).is_err(), "cut at {at}");
         }
+        for at in (0..bytes.len()).step_by(37) {
+            let mut spoilt = bytes.clone();
+            spoilt[at] ^= 0x55;
+            let _ = Outcome::from_bytes(spoilt);
+        }
         assert!(Outcome::from_bytes(b"kind,name\n".to_vec()).unwrap_err().contains("not a Parquet file"));
     }
 }
