--- a/crates/load/src/chart.rs
+++ b/crates/load/src/chart.rs
@@ -8,7 +8,7 @@
 
 use crate::account::{Cell, Key, Kind};
 use crate::result::Outcome;
-use crate::stats::{quantile, Quantile};
+use crate::stats::{quantile, tells, Quantile};
 
 const SIZE: (u32, u32) = (900, 480);
 const FONT: &str = "sans-serif";
@@ -64,26 +64,50 @@
     }
 }
 
-/// Percentile bands over time, from the intended time on. An interval too thin for a percentile shows none.
+/// Most intervals that one point of the latency chart takes together so that it tells its 99th percentile.
+const MOST_TOGETHER: usize = 10;
+
+/// Intervals taken together, as few as let nine in ten tell their 99th percentile.
+fn together(cells: Vec<(f64, Cell)>) -> (usize, Vec<(f64, Cell)>) {
+    let merged = |count: usize| -> Vec<(f64, Cell)> {
+        let merge = |chunk: &[(f64, Cell)]| {
+            let mut sum = Cell::default();
+            chunk.iter().for_each(|(_, cell)| sum.add(cell));
+            (chunk[0].0, sum)
+        };
+        cells.chunks(count).map(merge).collect()
+    };
+    let enough = |count: &usize| {
+        let merged = merged(*count);
+        let told = merged.iter().filter(|(_, cell)| tells(cell.meant.len(), 0.99)).count();
+        told * 10 >= merged.len() * 9
+    };
+    let count = (1..=MOST_TOGETHER).find(enough).unwrap_or(MOST_TOGETHER);
+    (count, merged(count))
+}
+
+/// Percentile bands over time, from the intended time on. A point too thin for a percentile shows none.
 fn over_time(outcome: &Outcome, area: &Area) -> Result<(), String> {
-    caption(area, &title(outcome, "Latency from the intended time"))?;
-    let cells = intervals(outcome, Kind::Interval, 0)?;
+    let (count, cells) = together(intervals(outcome, Kind::Interval, 0)?);
+    let width = outcome.meta.interval * count as f64;
+    caption(area, &title(outcome, &format!("Latency from the intended time, {width} s a point")))?;
     let line = |q: f64| -> Vec<(f64, f64)> {
         let told = cells.iter().filter_map(|(at, cell)| match quantile(&cell.meant, q) {
-            Quantile::Told(seconds) => Some((at + outcome.meta.interval / 2.0, (seconds * 1e3).max(1e-3))),
+            Quantile::Told(seconds) => Some((at + width / 2.0, (seconds * 1e3).max(1e-3))),
             Quantile::Few { .. } => None,
         });
         told.collect()
     };
     let most: Vec<(f64, f64)> = (cells.iter().filter(|(_, cell)| !cell.meant.is_empty()))
-        .map(|(at, cell)| (at + outcome.meta.interval / 2.0, cell.meant.max() as f64 / 1e3))
+        .map(|(at, cell)| (at + width / 2.0, cell.meant.max() as f64 / 1e3))
         .collect();
     let lines = [("p50", line(0.5)), ("p90", line(0.9)), ("p99", line(0.99)), ("most", most)];
     let (low, high) = decades(lines.iter().flat_map(|(_, line)| line.iter().map(|point| point.1)));
-    let end = cells.last().map_or(1.0, |(at, _)| at + outcome.meta.interval);
+    let end = cells.last().map_or(1.0, |(at, _)| at + width);
     let mut chart = ChartBuilder::on(area)
         .margin(12)
         .margin_top(36)
+        .margin_right(30)
         .x_label_area_size(42)
         .y_label_area_size(64)
         .build_cartesian_2d(0.0..end, (low..high).log_scale())
@@ -103,7 +127,11 @@
         if under.is_empty() || over.is_empty() {
             continue;
         }
-        let outline: Vec<(f64, f64)> = under.iter().copied().chain(over.iter().rev().copied()).collect();
+        // Only where both are told.
+        let there = |line: &[(f64, f64)], at: f64| line.iter().any(|point| point.0 == at);
+        let low = under.iter().filter(|point| there(over, point.0)).copied();
+        let high = over.iter().rev().filter(|point| there(under, point.0)).copied();
+        let outline: Vec<(f64, f64)> = low.chain(high).collect();
         let shade = COLORS[0].mix(if at == 1 { 0.30 } else { 0.13 });
         chart.draw_series(std::iter::once(Polygon::new(outline, shade))).map_err(wrong)?;
     }
@@ -113,17 +141,19 @@
         let drawn = chart.draw_series(LineSeries::new(line, style)).map_err(wrong)?;
         drawn.label(name).legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], style));
     }
-    legend(&mut chart)
+    legend(&mut chart, SeriesLabelPosition::UpperRight)
 }
 
-fn legend<'a, X, Y>(chart: &mut ChartContext<'a, SVGBackend<'a>, Cartesian2d<X, Y>>) -> Result<(), String>
+fn legend<'a, X, Y>(
+    chart: &mut ChartContext<'a, SVGBackend<'a>, Cartesian2d<X, Y>>, place: SeriesLabelPosition,
+) -> Result<(), String>
 where
     X: Ranged,
     Y: Ranged,
 {
     chart
         .configure_series_labels()
-        .position(SeriesLabelPosition::UpperRight)
+        .position(place)
         .background_style(WHITE.mix(0.85))
         .border_style(BLACK.mix(0.3))
         .label_font((FONT, 14))
@@ -143,7 +173,12 @@
             let mut line = Vec::new();
             for step in histogram.iter_recorded() {
                 let left = (all - seen as f64) / all;
-                line.push(((step.value_iterated_to() as f64 / 1e3).max(1e-3), left));
+                let x = (step.value_iterated_to() as f64 / 1e3).max(1e-3);
+                // Points that no eye tells apart only make the file large.
+                let apart = |last: &(f64, f64)| x > 1.01 * last.0 || left < 0.99 * last.1;
+                if line.last().is_none_or(apart) {
+                    line.push((x, left));
+                }
                 seen += step.count_at_value();
             }
             if !line.is_empty() {
@@ -162,6 +197,7 @@
     let mut chart = ChartBuilder::on(area)
         .margin(12)
         .margin_top(36)
+        .margin_right(30)
         .x_label_area_size(42)
         .y_label_area_size(72)
         .build_cartesian_2d((low..high).log_scale(), (least..1.0).log_scale())
@@ -181,7 +217,7 @@
         let drawn = chart.draw_series(LineSeries::new(line, style)).map_err(wrong)?;
         drawn.label(name).legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], style));
     }
-    legend(&mut chart)
+    legend(&mut chart, SeriesLabelPosition::LowerLeft)
 }
 
 /// Ends of operations a second, one upon the other, and what was offered.
@@ -201,9 +237,10 @@
     let mut chart = ChartBuilder::on(area)
         .margin(12)
         .margin_top(36)
+        .margin_right(30)
         .x_label_area_size(42)
         .y_label_area_size(64)
-        .build_cartesian_2d(0.0..end, 0.0..most * 1.25)
+        .build_cartesian_2d(0.0..end, 0.0..most * 1.5)
         .map_err(wrong)?;
     chart
         .configure_mesh()
@@ -235,7 +272,7 @@
     let style = BLACK.stroke_width(2);
     let drawn = chart.draw_series(LineSeries::new(offered, style)).map_err(wrong)?;
     drawn.label("offered").legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], style));
-    legend(&mut chart)
+    legend(&mut chart, SeriesLabelPosition::UpperRight)
 }
 
 /// Each plan's part in weights, in offered units, in units served in time and in benefit.
@@ -265,6 +302,7 @@
     let mut chart = ChartBuilder::on(area)
         .margin(12)
         .margin_top(36)
+        .margin_right(30)
         .x_label_area_size(42)
         .y_label_area_size(64)
         .build_cartesian_2d(0.0..plans.max(1) as f64, 0.0..most * 1.35)
@@ -294,7 +332,7 @@
         let drawn = chart.draw_series(bars).map_err(wrong)?;
         drawn.label(*name).legend(move |(x, y)| Rectangle::new([(x, y - 5), (x + 18, y + 5)], style));
     }
-    legend(&mut chart)
+    legend(&mut chart, SeriesLabelPosition::UpperRight)
 }
 
 /// Draws all charts into a folder; their paths.
