Output that nobody reads costs a program its words only

Need: `quaypath-load report FILE | head` ended in a panic, as println does on a closed pipe; so would every program.

All programs' lines on standard output go through one macro that lets a closed reader be. A test closes it.

--- a/crates/programs/src/bin/check.rs
+++ b/crates/programs/src/bin/check.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, ValueEnum};
 use quaypath_day::report;
-use quaypath_programs::exit;
+use quaypath_programs::{exit, say};
 
 #[derive(Clone, Copy, ValueEnum)]
 enum Form {
@@ -38,8 +38,8 @@
     let report = report::of_files(&deployment, arguments.transit, &arguments.records)
         .map_err(|error| error.to_string())?;
     match arguments.format {
-        Form::Table => println!("{}\n{}", report.table(), report.verdict()),
-        Form::Json => println!("{}", serde_json::to_string(&report).map_err(|error| error.to_string())?),
+        Form::Table => say!("{}\n{}", report.table(), report.verdict()),
+        Form::Json => say!("{}", serde_json::to_string(&report).map_err(|error| error.to_string())?),
     }
     Ok(report.kept())
 }
--- a/crates/programs/src/bin/day.rs
+++ b/crates/programs/src/bin/day.rs
@@ -8,7 +8,7 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use quaypath_day::{plan, report, run};
-use quaypath_programs::{exit, Logs};
+use quaypath_programs::{exit, say, Logs};
 use quaypath_record::Clock;
 use quaypath_settings::Day;
 
@@ -108,18 +108,18 @@
         .map_err(|error| error.to_string())?;
     match arguments.format {
         Form::Table => {
-            println!("{}", report.table());
-            println!("{} first tries found no gateway", tally.unreachable);
-            println!("{}", held(&memory, day.lasts));
+            say!("{}", report.table());
+            say!("{} first tries found no gateway", tally.unreachable);
+            say!("{}", held(&memory, day.lasts));
             if books.len() < day.fleet.gateways as usize {
-                println!("{} gateways gave no counts at the end", day.fleet.gateways as usize - books.len());
+                say!("{} gateways gave no counts at the end", day.fleet.gateways as usize - books.len());
             }
-            println!("{}", report.verdict());
+            say!("{}", report.verdict());
         }
         Form::Json => {
             let whole = serde_json::json!({ "report": report, "books": books, "memory": memory,
                 "unreachable": tally.unreachable });
-            println!("{whole}");
+            say!("{whole}");
         }
     }
     if keep || !report.kept() {
@@ -158,12 +158,7 @@
         transactions += report.all.taken;
         let kinds: Vec<String> = storm.fault.iter().map(|fault| format!("{:?}", fault.kind)).collect();
         let hung = if tally.done { "" } else { ", HUNG" };
-        println!(
-            "seed {seed}: {} taken, {}{hung}  [{}]",
-            report.all.taken,
-            report.verdict(),
-            kinds.join(" ")
-        );
+        say!("seed {seed}: {} taken, {}{hung}  [{}]", report.all.taken, report.verdict(), kinds.join(" "));
         if report.kept() && tally.done {
             let _ = std::fs::remove_dir_all(&folder);
         } else {
@@ -172,7 +167,7 @@
         }
     }
     let count = arguments.seeds;
-    println!("{count} seeds, {transactions} transactions, {} broken or hung: {broken:?}", broken.len());
+    say!("{count} seeds, {transactions} transactions, {} broken or hung: {broken:?}", broken.len());
     Ok(broken.is_empty())
 }
 
@@ -195,8 +190,8 @@
         closed.store(true, Ordering::Relaxed);
     });
     let ready = |addresses: &[(u32, SocketAddr)]| {
-        addresses.iter().for_each(|(number, address)| println!("gateway {number} {address}"));
-        println!("ready");
+        addresses.iter().for_each(|(number, address)| say!("gateway {number} {address}"));
+        say!("ready");
     };
     let begins = || *begins.lock().unwrap();
     run::fleet(&day, &deployment, &options, ready, begins, || over.load(Ordering::Relaxed))
@@ -206,7 +201,7 @@
         let mut paths = vec![run::record_path(&folder)];
         paths.extend(arguments.judge.iter().cloned());
         let report = report::of_files(&deployment, day.transit, &paths).map_err(|error| error.to_string())?;
-        println!("{}", report.verdict());
+        say!("{}", report.verdict());
         kept = report.kept();
     }
     if arguments.folder.is_none() && kept {
@@ -218,9 +213,9 @@
 fn show(path: &Path) -> Result<bool, String> {
     let (day, deployment) = quaypath_settings::day(path).map_err(|error| error.to_string())?;
     let asks = plan::traffic(&day, &deployment);
-    println!("{}: {} s, {} first tries", day.name, day.lasts, asks.len());
+    say!("{}: {} s, {} first tries", day.name, day.lasts, asks.len());
     for (at, act) in plan::script(&day) {
-        println!("{at:8.2} s  {act:?}");
+        say!("{at:8.2} s  {act:?}");
     }
     Ok(true)
 }
--- a/crates/programs/src/bin/gateway.rs
+++ b/crates/programs/src/bin/gateway.rs
@@ -8,7 +8,7 @@
 
 use clap::Parser;
 use quaypath_initiator::{core, run, Options};
-use quaypath_programs::{exit, Logs};
+use quaypath_programs::{exit, say, Logs};
 
 /// Takes transactions of clients over NVMe/TCP and schedules them over the storage nodes.
 #[derive(Parser)]
@@ -81,7 +81,7 @@
         list: arguments.list,
         core: if arguments.careless { core::careless } else { core::brain },
     };
-    println!("listening {address}");
+    say!("listening {address}");
     let _ = std::io::stdout().flush();
     let until = arguments.until_stdin_closes;
     let stop = async move {
@@ -93,7 +93,7 @@
     };
     let counts = run(&options, listener, stop).map_err(|error| error.to_string())?;
     if until {
-        println!("{}", serde_json::to_string(&counts).map_err(|error| error.to_string())?);
+        say!("{}", serde_json::to_string(&counts).map_err(|error| error.to_string())?);
     }
     Ok(true)
 }
--- a/crates/programs/src/bin/load.rs
+++ b/crates/programs/src/bin/load.rs
@@ -20,7 +20,7 @@
 use quaypath_load::run::{hello, meta, run, share, stream, Fleet, Place, Run};
 use quaypath_load::schedule::{check, peak, Peers, Source};
 use quaypath_load::{chart, report};
-use quaypath_programs::{exit, Logs};
+use quaypath_programs::{exit, say, Logs};
 use quaypath_record::{Clock, Writer};
 use quaypath_settings::Loaded;
 
@@ -186,7 +186,7 @@
         drop(stdin);
         let mut line = String::new();
         while lines.read_line(&mut line).unwrap_or(0) > 0 {
-            print!("fleet: {line}");
+            say!("fleet: {}", line.trim_end());
             line.clear();
         }
         let status = child.wait().map_err(|error| error.to_string())?;
@@ -295,7 +295,7 @@
 }
 
 fn told(rows: &Rows) {
-    println!(
+    say!(
         "rows of the record: {} taken, {} outside the window, {} put in order, {} too late for it, {} unknown, {} \
          remapped",
         rows.taken, rows.outside, rows.reordered, rows.late, rows.unknown, rows.remapped
@@ -390,9 +390,9 @@
         std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
         outcome.write(&folder.join("result.parquet"))?;
         chart::draw(&outcome, folder)?;
-        println!("result and charts: {}", folder.display());
+        say!("result and charts: {}", folder.display());
     }
-    println!("{}", report::tables(&outcome)?);
+    say!("{}", report::tables(&outcome)?);
     Ok(kept && outcome.meta.missing.is_empty())
 }
 
@@ -417,10 +417,10 @@
 
 fn report_on(path: &Path, charts: Option<&Path>) -> Result<bool, String> {
     let outcome = Outcome::read(path)?;
-    println!("{}", report::tables(&outcome)?);
+    say!("{}", report::tables(&outcome)?);
     if let Some(folder) = charts {
         for path in chart::draw(&outcome, folder)? {
-            println!("{}", path.display());
+            say!("{}", path.display());
         }
     }
     Ok(true)
@@ -468,7 +468,7 @@
         nth += 1;
         let (found, outcome) = trial(arguments, &mut loaded, &fleet, rate, nth)?;
         let all = outcome.cell(Key::new(Kind::All, 0))?;
-        println!(
+        say!(
             "{rate:.0} a second: {found:?} of {} in time; all bands {:.4}, p99 of all {} ms",
             arguments.band,
             all.counts.goodput(),
@@ -481,28 +481,28 @@
     let bar = format!("{} of {} in time", arguments.part, arguments.band);
     let noisy = search.steps.iter().filter(|step| step.noisy).count();
     if noisy > 0 {
-        println!("at {noisy} rates the repeats' intervals hold the bar: told by their means");
+        say!("at {noisy} rates the repeats' intervals hold the bar: told by their means");
     }
     let found = match search.state() {
         State::Ended(End::Between(low, high)) => {
-            println!("knee: {bar} holds at {low:.0} a second and not at {high:.0}");
+            say!("knee: {bar} holds at {low:.0} a second and not at {high:.0}");
             true
         }
         State::Ended(End::Above(rate)) => {
-            println!("no knee: {bar} still holds at {rate:.0} a second, the highest tried");
+            say!("no knee: {bar} still holds at {rate:.0} a second, the highest tried");
             true
         }
         State::Ended(End::Below(rate)) => {
-            println!("no knee: {bar} does not hold even at {rate:.1} a second");
+            say!("no knee: {bar} does not hold even at {rate:.1} a second");
             false
         }
         State::Ended(End::Generator { at, held, why }) => {
             let held = held.map_or("at no rate before".into(), |held| format!("at {held:.0}"));
-            println!("no knee: the generator was the limit at {at:.0} a second ({why}); {bar} held {held}");
+            say!("no knee: the generator was the limit at {at:.0} a second ({why}); {bar} held {held}");
             false
         }
         State::Ended(End::Nothing) => {
-            println!("no knee: no operation of band {} was offered", arguments.band);
+            say!("no knee: no operation of band {} was offered", arguments.band);
             false
         }
         State::Doubling | State::Halving => false,
@@ -519,7 +519,7 @@
     let mut last = 0.0;
     while let Some(arrival) = source.next()? {
         if count < first {
-            println!(
+            say!(
                 "{:10.4} s  gateway {:3}  volume {:5}  {}  {} units",
                 arrival.at,
                 arrival.peer,
@@ -532,12 +532,12 @@
         bands[arrival.band] += 1;
         last = arrival.at;
     }
-    println!("{count} arrivals, the last at {last:.3} s");
+    say!("{count} arrivals, the last at {last:.3} s");
     for (name, count) in loaded.deployment.band_names.iter().zip(bands) {
-        println!("  {name}: {count}");
+        say!("  {name}: {count}");
     }
     if loaded.load.open.is_some() {
-        println!("at most {:.0} a second on average at any time", peak(&loaded.load, &loaded.deployment)?);
+        say!("at most {:.0} a second on average at any time", peak(&loaded.load, &loaded.deployment)?);
     }
     Ok(true)
 }
@@ -551,7 +551,7 @@
         Act::Report { result, charts } => report_on(result, charts.as_deref()),
         Act::Compare { first, second } => Outcome::read(first).and_then(|first| {
             let text = report::compared(&first, &Outcome::read(second)?)?;
-            println!("{text}");
+            say!("{text}");
             Ok(true)
         }),
         Act::Knee(knee_of) => knee(knee_of),
--- a/crates/programs/src/bin/nvme.rs
+++ b/crates/programs/src/bin/nvme.rs
@@ -17,7 +17,7 @@
 use quaypath_nvme::host::Offer;
 use quaypath_nvme::pdu::{Decoder, Format, Pdu};
 use quaypath_nvme::{admin, status, BLOCK_SIZE, MAX_DATA};
-use quaypath_programs::exit;
+use quaypath_programs::{exit, say};
 
 /// Talks NVMe/TCP to one gateway, target or register.
 #[derive(Parser)]
@@ -206,7 +206,7 @@
     let states = client.ask("access states", &mut queue, get_log(log::ANA, 0, 16 + 32 * count.max(1), true));
     let groups =
         states.ok().and_then(|(_, data)| access_groups(&data)).map_or(Vec::new(), |(_, groups)| groups);
-    println!("generation {generation}, {count} records");
+    say!("generation {generation}, {count} records");
     for record in (0..count).filter_map(|at| discovery_record(&whole, at)) {
         let state =
             groups.iter().find(|(id, ..)| *id == u32::from(record.port) + 1).map(|(_, state, _)| *state);
@@ -217,9 +217,14 @@
             None => "unknown",
         };
         let age = record.age.map_or("long ago".into(), |age| format!("{age:.1} s ago"));
-        println!(
+        say!(
             "port {:3}  {}:{}  {state}  block {}  zone {}  started {age}  {}",
-            record.port, record.address, record.service, record.block, record.zone, record.subsystem
+            record.port,
+            record.address,
+            record.service,
+            record.block,
+            record.zone,
+            record.subsystem
         );
     }
     Ok(true)
@@ -227,27 +232,30 @@
 
 fn connect(client: &Client) -> Result<bool, String> {
     let (mut queue, enable) = client.admin("nqn.2026-12.example.quaypath:gateway", 8)?;
-    println!("connected: controller {}, ready, {} I/O queues", enable.controller, enable.queues);
+    say!("connected: controller {}, ready, {} I/O queues", enable.controller, enable.queues);
     for (name, at) in
         [("CAP", property::CAP), ("VS", property::VS), ("CC", property::CC), ("CSTS", property::CSTS)]
     {
         let (cqe, _) = client.ask(name, &mut queue, property_get(at))?;
-        println!("{name}: {:#x}", u64::from(cqe.dw0) | u64::from(cqe.dw1) << 32);
+        say!("{name}: {:#x}", u64::from(cqe.dw0) | u64::from(cqe.dw1) << 32);
     }
     client.ask("shutdown", &mut queue, property_set(property::CC, CC_SHUT_DOWN))?;
     let (cqe, _) = client.ask("CSTS", &mut queue, property_get(property::CSTS))?;
-    println!("shut down: CSTS {:#x}", cqe.dw0);
+    say!("shut down: CSTS {:#x}", cqe.dw0);
     Ok(true)
 }
 
 fn identify_all(client: &Client, one: Option<u32>) -> Result<bool, String> {
     let (mut queue, enable) = client.admin("nqn.2026-12.example.quaypath:gateway", 1)?;
     let identity = enable.identity.ok_or("no identity")?;
-    println!(
+    say!(
         "subsystem {}  controller {}  model {} {}",
-        identity.subsystem, identity.controller, identity.model, identity.firmware
+        identity.subsystem,
+        identity.controller,
+        identity.model,
+        identity.firmware
     );
-    println!(
+    say!(
         "longest transfer {} KiB  in capsule {} bytes  most commands {}  retry delays {:?} s",
         identity.longest / 1024,
         identity.in_capsule,
@@ -268,7 +276,7 @@
     for nsid in ids {
         let (_, data) = client.ask(&format!("namespace {nsid}"), &mut queue, identify(0, nsid))?;
         let (blocks, size) = namespace_size(&data).ok_or("a namespace with a format of another kind")?;
-        println!("namespace {nsid}: {blocks} blocks of {size} bytes");
+        say!("namespace {nsid}: {blocks} blocks of {size} bytes");
     }
     Ok(true)
 }
@@ -297,7 +305,7 @@
         match decoder.next_pdu() {
             Ok(Some(pdu)) => {
                 let length = pending - decoder.pending();
-                println!("{at:8}  {length:6} bytes  {}", text(&pdu));
+                say!("{at:8}  {length:6} bytes  {}", text(&pdu));
                 if let Pdu::IcResp { digest, .. } = pdu {
                     decoder.agree(Format::of(digest, 0));
                 }
@@ -383,7 +391,7 @@
             let sqe = transfer(range, opcode::COMPARE, (data.len() / BLOCK_SIZE) as u32);
             match client(range.address).io("compare", sqe, data, 0) {
                 Err(error) if error.contains(&format!("{:#x} ", status::COMPARE_FAILURE)) => {
-                    println!("they differ");
+                    say!("they differ");
                     Ok(false)
                 }
                 done => done.map(|_| true),
--- a/crates/programs/src/bin/target.rs
+++ b/crates/programs/src/bin/target.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use clap::Parser;
-use quaypath_programs::{exit, Logs};
+use quaypath_programs::{exit, say, Logs};
 use quaypath_record::{Clock, Writer};
 
 use quaypath_standins::model::Figures;
@@ -100,7 +100,7 @@
     };
     let listener =
         TcpListener::bind(arguments.listen).map_err(|error| format!("{}: {error}", arguments.listen))?;
-    println!("listening {}", listener.local_addr().map_err(|error| error.to_string())?);
+    say!("listening {}", listener.local_addr().map_err(|error| error.to_string())?);
     let (block, core) = (arguments.block, &deployment.core);
     let zone = zone_of(block, deployment.zones);
     let bands = deployment.book.bands.iter().map(|band| BandRule::of(band, &zone, block));
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -38,6 +38,16 @@
     }
 }
 
+/// A line on standard output. Guards against a reader that closed it, as `head` does: what a program was asked to do
+/// goes on, and only its words are lost.
+#[macro_export]
+macro_rules! say {
+    ($($word:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stdout(), $($word)*);
+    }};
+}
+
 /// 0: done. 1: a finding. 2: wrong usage or input, with one message.
 pub fn exit<E: Display>(program: &str, done: Result<bool, E>) -> ExitCode {
     match done {
--- a/crates/programs/tests/load.rs
+++ b/crates/programs/tests/load.rs
@@ -340,6 +340,17 @@
     refused(&spoilt, &["show", "deep.xml"], "elements more than 32 deep");
 }
 
+/// A reader that closes the output early, as `head` does, costs the words only.
+#[test]
+fn nobody_reads_the_tables() {
+    let folder = Folder::new("<open process='poisson' rate='50'/>", 1.0);
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let output =
+        load(&["show", "load.xml"], &folder).stdout(writer).spawn().unwrap().wait_with_output().unwrap();
+    assert!(output.status.success() && !text(&output).contains("panicked"), "{}", text(&output));
+}
+
 /// The search on sockets: targets without work hold any rate it may try.
 #[test]
 fn a_search_ends() {
