One reader of records, settings read once, columns named once, arrivals counted without copies

`quaypath_record::Lines` reads a record line by line, bounded, for both; `load` gives the text with what it decoded; columns are one table by name; what decides an arrival's classes is a small value of its own; `Deployment::longest`. A line over 64 KiB in any record, and one that is not UTF-8, is now told by its number; records of the project have none.

--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -428,7 +428,7 @@
         stage.act(&act)?;
     }
     stage.wait_until(start, start + day.lasts);
-    let longest = deployment.outer.iter().copied().fold(0.0, f64::max);
+    let longest = deployment.longest();
     let latest = start + day.lasts + 2.0 * longest + 3.0;
     while !clients.tally.lock().unwrap().done && record.clock.now() < latest {
         std::thread::sleep(Duration::from_millis(20));
--- a/crates/load/src/benefit.rs
+++ b/crates/load/src/benefit.rs
@@ -59,7 +59,6 @@
         let left = self.seconds.entry((at.max(0.0) as u64, volume)).or_insert(full);
         let mut units = f64::from(units).min(left.limit);
         left.limit -= units;
-        let worths = [1.0, self.figures.share];
         let mut earned = 0.0;
         let mut use_up = |kept: &mut f64, worth: f64, units: &mut f64| {
             let taken = units.min(kept.max(0.0));
@@ -68,8 +67,8 @@
             earned += taken * worth;
         };
         if in_time {
-            use_up(&mut left.reserve, worths[0], &mut units);
-            use_up(&mut left.share, worths[1], &mut units);
+            use_up(&mut left.reserve, 1.0, &mut units);
+            use_up(&mut left.share, self.figures.share, &mut units);
         }
         earned += units * self.figures.rest;
         let late = if in_time { 1.0 } else { self.figures.late };
--- a/crates/load/src/generator.rs
+++ b/crates/load/src/generator.rs
@@ -70,6 +70,21 @@
     }
 }
 
+/// What decides where an arrival is counted.
+#[derive(Clone, Copy)]
+struct Class {
+    at: f64,
+    volume: u32,
+    plan: usize,
+    band: usize,
+}
+
+impl Class {
+    fn of(arrival: &Arrival) -> Class {
+        Class { at: arrival.at, volume: arrival.volume, plan: arrival.plan, band: arrival.band }
+    }
+}
+
 /// How a try ended, as read off the wire.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answer {
@@ -184,7 +199,7 @@
             behind: load.bounds.behind,
             lag: load.bounds.lag,
             groups: load.group.iter().map(|group| (group.first, group.last)).collect(),
-            longest: deployment.outer.iter().copied().fold(0.0, f64::max),
+            longest: deployment.longest(),
         };
         let mut wheel = Wheel::fine(start, TICKS);
         let clients = load.closed.as_ref().map_or(0, |closed| closed.clients / of.max(1));
@@ -297,9 +312,9 @@
             Due::Client(_) => {}
             Due::Again(number) => {
                 if let Some(operation) = self.open.get_mut(&number) {
-                    let lag = now - operation.meant;
                     operation.tries += 1;
-                    self.lag(number, lag);
+                    let (class, lag) = (Class::of(&operation.arrival), now - operation.meant);
+                    self.count(class, |cell| cell.lag(lag));
                     self.send(number, asks);
                 }
             }
@@ -353,10 +368,11 @@
         let at = arrival.at;
         let due =
             self.reckoning.as_mut().map_or(0.0, |(_, due)| due.earns(at, volume, arrival.band, units, true));
-        self.count(&arrival, |cell| {
+        self.count(Class::of(&arrival), |cell| {
             cell.counts.offered += 1;
             cell.counts.units += u64::from(units);
             cell.counts.benefit_due += due;
+            cell.lag(now - meant);
         });
         if at >= self.rules.warm_up {
             let served = Served { offered: 1, units: u64::from(units), ..Served::default() };
@@ -365,7 +381,6 @@
         let operation = Operation { arrival, state: State::Due, tries: 0, meant, sent: 0.0, client };
         let full = self.open.len() >= self.rules.open;
         self.open.insert(number, operation);
-        self.lag(number, now - meant);
         if client.is_none() && now - meant > self.rules.behind {
             // Sent this late it would no more be the load that was meant.
             return self.end(now, number, End::Missed);
@@ -376,13 +391,6 @@
         self.send(number, asks);
     }
 
-    fn lag(&mut self, number: u64, lag: f64) {
-        if let Some(operation) = self.open.get(&number) {
-            let arrival = operation.arrival.clone();
-            self.count(&arrival, |cell| cell.lag(lag));
-        }
-    }
-
     fn send(&mut self, number: u64, asks: &mut Vec<Do>) {
         let Some(operation) = self.open.get_mut(&number) else { return };
         if operation.state == State::Resting {
@@ -401,8 +409,8 @@
         let Some(operation) = self.open.get_mut(&number) else { return };
         Self::shift(operation, State::Sent);
         operation.sent = now;
-        let arrival = operation.arrival.clone();
-        self.count(&arrival, |cell| cell.counts.tries += 1);
+        let class = Class::of(&operation.arrival);
+        self.count(class, |cell| cell.counts.tries += 1);
     }
 
     /// No queue of its peer has room; it waits for one.
@@ -473,7 +481,7 @@
             benefit = earned.unwrap_or(0.0);
         }
         let units = if in_time { u64::from(units) } else { 0 };
-        self.count(&arrival, |cell| {
+        self.count(Class::of(&arrival), |cell| {
             let counts = &mut cell.counts;
             match end {
                 End::Settled if in_time => counts.in_time += 1,
@@ -503,8 +511,8 @@
         }
     }
 
-    /// Into every class that the arrival is of.
-    fn count(&mut self, arrival: &Arrival, mut put: impl FnMut(&mut Cell)) {
+    /// Into every class that an arrival is of.
+    fn count(&mut self, arrival: Class, mut put: impl FnMut(&mut Cell)) {
         let interval = (arrival.at / self.rules.interval) as u32;
         put(&mut self.sum);
         put(&mut self.recent);
--- a/crates/load/src/recorded.rs
+++ b/crates/load/src/recorded.rs
@@ -2,15 +2,13 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-use std::fs::File;
-use std::io::{BufRead, BufReader};
 use std::path::Path;
 
-use quaypath_record::Event;
+use quaypath_record::{Event, Lines};
 use quaypath_settings::{Deployment, Recorded, Remap};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::schedule::{Arrival, Peers, Source};
+use crate::schedule::{Arrival, Peers, Source, BLOCKS};
 
 /// One recorded first try, as its reader found it. What a trace does not tell is absent.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,58 +31,34 @@
     fn next(&mut self) -> Result<Option<Row>, String>;
 }
 
-/// Longest line of a record that is read, bytes.
-const LONGEST: u64 = 64 << 10;
-
 /// First tries of the project's own record.
-pub struct OwnRecord {
-    input: BufReader<File>,
-    name: String,
-    line: u64,
-    text: Vec<u8>,
-}
+pub struct OwnRecord(Lines);
 
 impl OwnRecord {
     pub fn open(path: &Path) -> Result<Self, String> {
-        let name = path.display().to_string();
-        let file = File::open(path).map_err(|error| format!("{name}: {error}"))?;
-        Ok(OwnRecord { input: BufReader::new(file), name, line: 0, text: Vec::new() })
+        Lines::open(path).map(OwnRecord).map_err(|error| error.to_string())
     }
 }
 
 impl Reader for OwnRecord {
     fn next(&mut self) -> Result<Option<Row>, String> {
-        use std::io::Read;
-        loop {
-            self.text.clear();
-            self.line += 1;
-            let place = format!("{}, line {}", self.name, self.line);
-            let mut bounded = (&mut self.input).take(LONGEST);
-            let count =
-                bounded.read_until(b'\n', &mut self.text).map_err(|error| format!("{place}: {error}"))?;
-            if count == 0 {
-                return Ok(None);
-            }
-            let whole = self.text.ends_with(b"\n");
-            match serde_json::from_slice(&self.text) {
-                // A try of the same operation that is not its first is the clients' doing, and will be again.
-                Ok(Event::Ask { t, gateway, mark, volume, band, units, key, budget }) if mark & 0xff == 0 => {
-                    return Ok(Some(Row {
-                        at: t,
-                        volume: u64::from(volume),
-                        band,
-                        units,
-                        key,
-                        initiator: Some(gateway),
-                        budget: Some(budget),
-                    }));
-                }
-                Ok(_) => {}
-                // A torn last line, as a killed writer leaves it.
-                Err(_) if !whole && count < LONGEST as usize => return Ok(None),
-                Err(error) => return Err(format!("{place}: not an event of the record: {error}")),
+        for event in &mut self.0 {
+            let event = event.map_err(|error| error.to_string())?;
+            // A try of the same operation that is not its first is the clients' doing, and will be again.
+            let Event::Ask { t, gateway, mark, volume, band, units, key, budget } = event else { continue };
+            if mark & 0xff == 0 {
+                return Ok(Some(Row {
+                    at: t,
+                    volume: u64::from(volume),
+                    band,
+                    units,
+                    key,
+                    initiator: Some(gateway),
+                    budget: Some(budget),
+                }));
             }
         }
+        Ok(None)
     }
 }
 
@@ -247,7 +221,7 @@
             units: row.units.clamp(1, self.deployment.most_units),
             key: extent as u32 + 1,
             slba,
-            blocks: 8.min(self.deployment.extent_blocks as u32),
+            blocks: BLOCKS.min(self.deployment.extent_blocks) as u32,
             initiators: volume.initiators.min(count),
             budget: row.budget.filter(|budget| *budget > 0.0).unwrap_or(self.deployment.outer[row.band]),
             leaves: None,
--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -175,7 +175,7 @@
     }
 
     fn encode(&self) -> Result<Vec<u8>, ParquetError> {
-        let rows = self.rows();
+        let mut rows = self.rows();
         let text = serde_json::to_string(&self.meta).map_err(|error| ParquetError::External(error.into()))?;
         let pairs = vec![KeyValue::new(META.to_string(), text)];
         let properties = WriterProperties::builder()
@@ -186,24 +186,27 @@
         let mut bytes = Vec::new();
         let mut writer = SerializedFileWriter::new(&mut bytes, schema()?, Arc::new(properties))?;
         let mut group = writer.next_row_group()?;
-        let mut nth = 0;
-        while let Some(mut column) = group.next_column()? {
-            match &COLUMNS[nth] {
+        for (_, form) in columns() {
+            let Some(mut column) = group.next_column()? else { break };
+            match form {
                 Column::Word(of) => {
                     let values: Vec<ByteArray> = rows.iter().map(|row| of(row.0, &row.3).into()).collect();
                     column.typed::<ByteArrayType>().write_batch(&values, None, None)?;
                 }
                 Column::Whole(of) => {
-                    let values: Vec<i64> = rows.iter().map(|row| of(row.1, row.2, &row.3)).collect();
+                    let values: Vec<i64> = rows.iter().map(|row| of(row.1, row.2)).collect();
                     column.typed::<Int64Type>().write_batch(&values, None, None)?;
                 }
+                Column::Count(nth) => {
+                    let values = rows.iter_mut().map(|row| *row.3.counts.fields()[nth] as i64);
+                    column.typed::<Int64Type>().write_batch(&values.collect::<Vec<_>>(), None, None)?;
+                }
                 Column::Number(of) => {
                     let values: Vec<f64> = rows.iter().map(|row| of(&row.3)).collect();
                     column.typed::<DoubleType>().write_batch(&values, None, None)?;
                 }
             }
             column.close()?;
-            nth += 1;
         }
         group.close()?;
         writer.close()?;
@@ -239,32 +242,30 @@
             if count > MOST_ROWS {
                 return Err(format!("{count} rows, {MOST_ROWS} at most"));
             }
-            let mut columns = Vec::new();
-            for nth in 0..COLUMNS.len() {
+            let mut values = BTreeMap::new();
+            for (nth, (name, _)) in columns().into_iter().enumerate() {
                 let reader = group.get_column_reader(nth).map_err(|error| error.to_string())?;
-                columns.push(
-                    Values::read(reader, count).map_err(|why| format!("column '{}': {why}", name(nth)))?,
-                );
+                let read = Values::read(reader, count).map_err(|why| format!("column '{name}': {why}"))?;
+                values.insert(name, read);
             }
             (0..count)
-                .try_for_each(|at| outcome.take(&columns, at).map_err(|why| format!("row {at}: {why}")))?;
+                .try_for_each(|at| outcome.take(&values, at).map_err(|why| format!("row {at}: {why}")))?;
         }
         Ok(outcome)
     }
 
-    fn take(&mut self, columns: &[Values], at: usize) -> Result<(), String> {
-        let whole = |nth: usize| columns[nth].whole(at);
+    /// Takes one row; every column of [`columns`] is there.
+    fn take(&mut self, values: &BTreeMap<&str, Values>, at: usize) -> Result<(), String> {
+        let whole = |name: &str| values[name].whole(at);
         let mut counts = Counts::default();
-        let many = Counts::NAMES.len();
-        for (nth, field) in counts.fields().into_iter().enumerate() {
-            *field = u64::try_from(whole(3 + nth)?).map_err(|_| format!("{} is below 0", name(3 + nth)))?;
+        for (name, field) in Counts::NAMES.into_iter().zip(counts.fields()) {
+            *field = u64::try_from(whole(name)?).map_err(|_| format!("{name} is below 0"))?;
         }
-        counts.benefit = columns[3 + many].number(at)?;
-        counts.benefit_due = columns[4 + many].number(at)?;
-        let short =
-            |nth: usize| u32::try_from(whole(nth)?).map_err(|_| format!("{} out of range", name(nth)));
-        let (id, interval) = (short(1)?, short(2)?);
-        let kind = String::from_utf8_lossy(columns[0].word(at)?).into_owned();
+        counts.benefit = values["benefit"].number(at)?;
+        counts.benefit_due = values["benefit_due"].number(at)?;
+        let short = |name: &str| u32::try_from(whole(name)?).map_err(|_| format!("{name} out of range"));
+        let (id, interval) = (short("name")?, short("interval")?);
+        let kind = String::from_utf8_lossy(values["kind"].word(at)?).into_owned();
         if kind == VOLUME {
             let (offered, units) = (counts.offered, counts.units);
             let served =
@@ -273,8 +274,8 @@
             return Ok(());
         }
         let kind = kind_of(&kind).ok_or(format!("kind '{kind}'"))?;
-        let word = |nth: usize| columns[nth].word(at).map(<[u8]>::to_vec);
-        let packed = Packed { counts, meant: word(5 + many)?, wire: word(6 + many)?, lag: word(7 + many)? };
+        let word = |name: &str| values[name].word(at).map(<[u8]>::to_vec);
+        let packed = Packed { counts, meant: word("latency")?, wire: word("from_sent")?, lag: word("lag")? };
         // Read once here, so that what is kept can be opened later.
         packed.cell()?;
         self.cells.insert(Key { kind, name: id, interval }, packed);
@@ -323,80 +324,39 @@
 /// One column: how its value is got from a row.
 enum Column {
     Word(fn(&str, &Packed) -> Vec<u8>),
-    Whole(fn(i64, i64, &Packed) -> i64),
+    Whole(fn(i64, i64) -> i64),
+    /// Place among the counts.
+    Count(usize),
     Number(fn(&Packed) -> f64),
 }
 
-macro_rules! counted {
-    ($($field:ident),*) => { [$(Column::Whole(|_, _, row| row.counts.$field as i64)),*] };
-}
-
-/// Columns in order: kind, name, interval, every count, benefit earned and due, three histograms.
-const COLUMNS: [Column; 24] = {
-    let [a, b, c, d, e, f, g, h, i, j, k, l, m, n, o, p] = counted!(
-        offered,
-        in_time,
-        late,
-        declined,
-        scrapped,
-        left,
-        cut,
-        unanswered,
-        unsent,
-        missed,
-        overrun,
-        lost,
-        tries,
-        stale,
-        units,
-        units_in_time
-    );
-    [
-        Column::Word(|kind, _| kind.as_bytes().to_vec()),
-        Column::Whole(|name, _, _| name),
-        Column::Whole(|_, interval, _| interval),
-        a,
-        b,
-        c,
-        d,
-        e,
-        f,
-        g,
-        h,
-        i,
-        j,
-        k,
-        l,
-        m,
-        n,
-        o,
-        p,
-        Column::Number(|row| row.counts.benefit),
-        Column::Number(|row| row.counts.benefit_due),
-        Column::Word(|_, row| row.meant.clone()),
-        Column::Word(|_, row| row.wire.clone()),
-        Column::Word(|_, row| row.lag.clone()),
-    ]
-};
-
-fn name(nth: usize) -> &'static str {
-    let many = Counts::NAMES.len();
-    match nth {
-        nth if nth < 3 => ["kind", "name", "interval"][nth],
-        nth if nth < 3 + many => Counts::NAMES[nth - 3],
-        nth => ["benefit", "benefit_due", "latency", "from_sent", "lag"][nth - 3 - many],
-    }
+/// Columns in order, by name.
+fn columns() -> Vec<(&'static str, Column)> {
+    let mut columns = vec![
+        ("kind", Column::Word(|kind, _| kind.as_bytes().to_vec())),
+        ("name", Column::Whole(|name, _| name)),
+        ("interval", Column::Whole(|_, interval| interval)),
+    ];
+    columns.extend(Counts::NAMES.into_iter().enumerate().map(|(nth, name)| (name, Column::Count(nth))));
+    columns.extend([
+        ("benefit", Column::Number(|row| row.counts.benefit)),
+        ("benefit_due", Column::Number(|row| row.counts.benefit_due)),
+        ("latency", Column::Word(|_, row| row.meant.clone())),
+        ("from_sent", Column::Word(|_, row| row.wire.clone())),
+        ("lag", Column::Word(|_, row| row.lag.clone())),
+    ]);
+    columns
 }
 
 fn schema() -> Result<Arc<Type>, ParquetError> {
-    let fields = COLUMNS.iter().enumerate().map(|(nth, column)| {
+    let fields = columns().into_iter().map(|(name, column)| {
         let (physical, logical) = match column {
-            Column::Word(_) if nth == 0 => (Physical::BYTE_ARRAY, Some(LogicalType::String)),
+            Column::Word(_) if name == "kind" => (Physical::BYTE_ARRAY, Some(LogicalType::String)),
             Column::Word(_) => (Physical::BYTE_ARRAY, None),
-            Column::Whole(_) => (Physical::INT64, None),
+            Column::Whole(_) | Column::Count(_) => (Physical::INT64, None),
             Column::Number(_) => (Physical::DOUBLE, None),
         };
-        let form = Type::primitive_type_builder(name(nth), physical).with_repetition(Repetition::REQUIRED);
+        let form = Type::primitive_type_builder(name, physical).with_repetition(Repetition::REQUIRED);
         form.with_logical_type(logical).build().map(Arc::new)
     });
     let fields = fields.collect::<Result<Vec<_>, _>>()?;
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -22,7 +22,7 @@
 /// Extents of a volume that are used where no distribution says so, for each node of it.
 const EXTENTS: u64 = 4;
 /// Logical blocks of a transfer where no distribution says so.
-const BLOCKS: u64 = 8;
+pub(crate) const BLOCKS: u64 = 8;
 
 /// One first try that is to be made.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/programs/src/bin/load.rs
+++ b/crates/programs/src/bin/load.rs
@@ -428,7 +428,7 @@
 
 /// One trial of a search: the load at this rate.
 fn trial(
-    arguments: &KneeArguments, loaded: &mut Loaded, fleet: &Fleet, rate: f64, nth: u64,
+    arguments: &KneeArguments, loaded: &mut Loaded, band: usize, fleet: &Fleet, rate: f64, nth: u64,
 ) -> Result<(Trial, Outcome), String> {
     let load = &mut loaded.load;
     load.open.as_mut().ok_or("a search wants a load with <open>")?.rate = rate;
@@ -436,8 +436,6 @@
     load.warm_up = load.warm_up.min(arguments.lasts / 4.0);
     // Another draw for each, or repeats would tell less than they seem to.
     load.seed = load.seed.wrapping_add(nth);
-    let band = loaded.deployment.band_names.iter().position(|name| *name == arguments.band);
-    let band = band.ok_or(format!("band '{}' is not the deployment's", arguments.band))?;
     let outcome = alone(&arguments.load, loaded, fleet, None, |_| {})?;
     if let Some(why) = &outcome.meta.ended_early {
         return Err(why.clone());
@@ -454,6 +452,8 @@
 fn knee(arguments: &KneeArguments) -> Result<bool, String> {
     let mut loaded = load(&arguments.load)?;
     let from = loaded.load.open.as_ref().ok_or("a search wants a load with <open>")?.rate;
+    let band = loaded.deployment.band_names.iter().position(|name| *name == arguments.band);
+    let band = band.ok_or(format!("band '{}' is not the deployment's", arguments.band))?;
     let mut up = Up::start(&arguments.at, None, None)?;
     let fleet = up.fleet.clone();
     let mut search = Knee::new(Bar {
@@ -466,7 +466,7 @@
     let mut nth = 0;
     while let Some(rate) = search.next() {
         nth += 1;
-        let (found, outcome) = trial(arguments, &mut loaded, &fleet, rate, nth)?;
+        let (found, outcome) = trial(arguments, &mut loaded, band, &fleet, rate, nth)?;
         let all = outcome.cell(Key::new(Kind::All, 0))?;
         say!(
             "{rate:.0} a second: {found:?} of {} in time; all bands {:.4}, p99 of all {} ms",
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -5,7 +5,7 @@
 //! Each time is taken when the bytes were read or written, so it carries that program's own delay.
 
 use std::fs::File;
-use std::io::{BufRead, BufReader, BufWriter, Write};
+use std::io::{BufRead, BufReader, BufWriter, Read, Write};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -281,23 +281,58 @@
     events.sort_by(|one, other| one.time().total_cmp(&other.time()));
 }
 
-/// Reads one or more files into one order of time. A torn last line, as a killed writer leaves it, is skipped.
+/// Longest line of a record that is read, bytes; far above any event's.
+const LONGEST: u64 = 64 << 10;
+
+/// One file's events, line by line, in the order written. A torn last line, as a killed writer leaves it, is skipped.
+pub struct Lines {
+    path: PathBuf,
+    input: BufReader<File>,
+    text: Vec<u8>,
+    line: usize,
+}
+
+impl Lines {
+    pub fn open(path: &Path) -> Result<Self, Error> {
+        let file = File::open(path).map_err(|source| Error::Io { path: path.into(), source })?;
+        Ok(Lines { path: path.into(), input: BufReader::new(file), text: Vec::new(), line: 0 })
+    }
+
+    /// The next event; nothing at the end.
+    fn step(&mut self) -> Result<Option<Event>, Error> {
+        self.text.clear();
+        self.line += 1;
+        let mut bounded = (&mut self.input).take(LONGEST);
+        let count = bounded.read_until(b'\n', &mut self.text);
+        let count = count.map_err(|source| Error::Io { path: self.path.clone(), source })?;
+        if count == 0 {
+            return Ok(None);
+        }
+        let torn = !self.text.ends_with(b"\n") && (count as u64) < LONGEST;
+        match serde_json::from_slice(&self.text) {
+            Ok(event) => Ok(Some(event)),
+            Err(_) if torn => Ok(None),
+            Err(error) => {
+                Err(Error::Line { path: self.path.clone(), line: self.line, what: error.to_string() })
+            }
+        }
+    }
+}
+
+impl Iterator for Lines {
+    type Item = Result<Event, Error>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        self.step().transpose()
+    }
+}
+
+/// Reads one or more files into one order of time.
 pub fn read(paths: &[PathBuf]) -> Result<Vec<Event>, Error> {
     let mut events = Vec::new();
     for path in paths {
-        let io = |source| Error::Io { path: path.clone(), source };
-        let mut input = BufReader::new(File::open(path).map_err(io)?);
-        let (mut text, mut line) = (String::new(), 0);
-        while input.read_line(&mut text).map_err(io)? > 0 {
-            line += 1;
-            match serde_json::from_str(&text) {
-                Ok(event) => events.push(event),
-                Err(_) if !text.ends_with('\n') => {}
-                Err(error) => {
-                    return Err(Error::Line { path: path.clone(), line, what: error.to_string() });
-                }
-            }
-            text.clear();
+        for event in Lines::open(path)? {
+            events.push(event?);
         }
     }
     sort(&mut events);
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -317,6 +317,11 @@
         ruled.or_else(|| self.writes.iter().position(|known| *known == writes))
     }
 
+    /// Longest time that any caller waits, seconds.
+    pub fn longest(&self) -> f64 {
+        self.outer.iter().copied().fold(0.0, f64::max)
+    }
+
     /// Extent of a volume that a logical block lies in, and the part of the data that holds it.
     pub fn place(&self, volume: &Volume, slba: u64) -> (u64, i64) {
         let extent = slba / self.extent_blocks;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -100,29 +100,41 @@
     Ok(())
 }
 
+impl Bad {
+    fn at(self, path: &Path) -> Error {
+        let Bad { place, found, rule } = self;
+        Error::Check { path: path.into(), place, found, rule }
+    }
+}
+
+/// Schema, checks, decoded; and the text that it was decoded from.
 fn load<T, F: serde::de::DeserializeOwned>(
     path: &Path, root: &str, decode: impl FnOnce(F) -> Result<T, Bad>,
-) -> Result<T, Error> {
+) -> Result<(T, String), Error> {
     let text = text_of(path)?;
     nested(path, &text)?;
     check(path, &text, root)?;
     let form: F = quick_xml::de::from_str(&text)
         .map_err(|error| Error::Xml { path: path.into(), what: error.to_string() })?;
-    decode(form).map_err(|Bad { place, found, rule }| Error::Check { path: path.into(), place, found, rule })
+    let decoded = decode(form).map_err(|bad| bad.at(path))?;
+    Ok((decoded, text))
+}
+
+/// The deployment that another file names, relative to that file's own place.
+fn beside(path: &Path, name: &str) -> Result<(Deployment, String), Error> {
+    load(&path.parent().unwrap_or(Path::new("")).join(name), "deployment", deployment::decode)
 }
 
 /// Loads a deployment: schema, checks, decoded.
 pub fn deployment(path: &Path) -> Result<Deployment, Error> {
-    load(path, "deployment", deployment::decode)
+    load(path, "deployment", deployment::decode).map(|(deployment, _)| deployment)
 }
 
 /// Loads a day and the deployment that it names, relative to the day's own place.
 pub fn day(path: &Path) -> Result<(Day, Deployment), Error> {
-    let day: Day = load(path, "day", day::decode)?;
-    let beside = path.parent().unwrap_or(Path::new("")).join(&day.deployment);
-    let deployment = deployment(&beside)?;
-    let fit = day.fits(&deployment);
-    fit.map_err(|Bad { place, found, rule }| Error::Check { path: path.into(), place, found, rule })?;
+    let (day, _): (Day, _) = load(path, "day", day::decode)?;
+    let (deployment, _) = beside(path, &day.deployment)?;
+    day.fits(&deployment).map_err(|bad| bad.at(path))?;
     Ok((day, deployment))
 }
 
@@ -136,10 +148,8 @@
 
 /// Loads a load and the deployment that it names, relative to the load's own place.
 pub fn load_of(path: &Path) -> Result<Loaded, Error> {
-    let load: Load = self::load(path, "load", load::decode)?;
-    let beside = path.parent().unwrap_or(Path::new("")).join(&load.deployment);
-    let deployment = deployment(&beside)?;
-    let fit = load.fits(&deployment);
-    fit.map_err(|Bad { place, found, rule }| Error::Check { path: path.into(), place, found, rule })?;
-    Ok(Loaded { load, deployment, text: text_of(path)?, deployment_text: text_of(&beside)? })
+    let (load, text): (Load, _) = self::load(path, "load", load::decode)?;
+    let (deployment, deployment_text) = beside(path, &load.deployment)?;
+    load.fits(&deployment).map_err(|bad| bad.at(path))?;
+    Ok(Loaded { load, deployment, text, deployment_text })
 }
