--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -408,6 +408,7 @@
         limit: form.limit,
         burst: form.burst,
         reservation: form.reservation,
+        nominal: form.nominal,
         weight: form.weight,
         factor: form.factor,
     })
@@ -540,6 +541,7 @@
         mean_units: form.units.mean,
         young_units: figures.young_units,
         metered: form.units.metering > 0.0,
+        tells_others: true,
         may_cancel: allow.cancel,
         most_shots: allow.shots,
         advises_return: allow.longest_return > 0.0,
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -82,6 +82,7 @@
             limit: pairs.number(&path("Cap"))?,
             burst: pairs.number(&path("MostAtOnce"))?,
             reservation: pairs.number(&path("Guaranteed"))?,
+            nominal: pairs.number(&path("Nominal"))?,
             weight: pairs.number(&path("Proportion"))?,
             factor: pairs.number(&path("WorthFactor"))?,
         });
@@ -94,6 +95,7 @@
         mean_units: pairs.number("FamilyInfo.MeanUnits")?,
         young_units: pairs.number("FamilyInfo.YoungLimit")?,
         metered: pairs.number("FamilyInfo.Metering")? > 0.0,
+        tells_others: pairs.flag("FamilyInfo.CountsOthers"),
         may_cancel: pairs.flag("Ceilings.MayCancel"),
         most_shots: pairs.optional("Ceilings.MaxAttempts")?.unwrap_or(1),
         advises_return: pairs.flag("Ceilings.RetryAfter"),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,6 +26,8 @@
 const SLACK_ALONE: f64 = 1.0;
 const RESERVE_PART: f64 = 1.2;
 const FEW: f64 = 3.0; // seconds over which use is compared
+/// Seconds over which this initiator's work at one node is averaged: at size it sees a node once in ten seconds.
+const LONG: f64 = 20.0;
 const PRIOR: f64 = 2.0; // answers that a wider measure counts for where a narrower one has few
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
 const LOSSY: f64 = 0.1;
@@ -107,7 +109,7 @@
     young: Ring,
     /// Units saved up for it while it is cold, and up to when.
     saved: Option<(f64, f64)>,
-    /// Units that it settled, and how many a second when last it was warm.
+    /// Units that it settled while warm, and how many a second that was up to its last answer then.
     settled: Ring,
     usual: f64,
 }
@@ -127,6 +129,8 @@
     filled_at: f64,
     usage: Ring,
     theirs: Ring,
+    /// Node time a second for all initiators, by the meter.
+    metered: Ring,
     part: f64,
 }
 
@@ -216,7 +220,11 @@
                 continue;
             }
             if !ours || self.posts[block].started != *started {
-                let Post { lines, again, out, usual, .. } = self.posts.remove(block).unwrap_or_default();
+                let before = self.posts.remove(block).unwrap_or_default();
+                // Others may have taken over work that this initiator had before: old news counts less.
+                let old = (LONG / (now - before.last_done).max(LONG)).min(1.0);
+                let Post { lines, again, out, .. } = before;
+                let usual = before.usual * old;
                 let (node, out) = (Some(node.clone()), if ours { out } else { 0.0 });
                 let post = Post { node, started: *started, lines, again, out, usual, ..self.fresh_post() };
                 self.posts.insert(*block, post);
@@ -293,7 +301,7 @@
                 volume.limit += self.set.plans[volume.plan.0].burst / volume.initiators;
             }
         }
-        self.learn(now, id, others);
+        self.learn(now, id, used, others);
         if self.post(block).node.as_ref() == Some(node) {
             self.account(now, id, delay, outcome);
         }
@@ -465,27 +473,46 @@
         let (share, span) = self.reserve(name);
         let weight = self.plan(name).weight.max(0.01);
         let reserved = self.plan(name).reservation * self.unit_time;
+        let theirs = self.theirs(now, name);
         let volume = self.volumes.get_mut(name).unwrap();
         let wait = (estimate.min(span) - volume.reserve) / share.max(1e-9);
         if share > 0.0 && wait <= 0.0 {
             (0, wait)
         } else {
-            let beyond = volume.usage.sum(now) + volume.theirs.sum(now) - reserved * FEW;
+            let beyond = volume.usage.sum(now) + theirs - reserved * FEW;
             (1, beyond.max(0.0) / weight)
         }
     }
 
     /// The reservation is split by who used the volume of late, evenly while little is known.
-    fn learn(&mut self, now: f64, id: TransactionId, others: f64) {
+    fn learn(&mut self, now: f64, id: TransactionId, used: f64, others: f64) {
         let t = &self.transactions[&id];
-        let last = self.posts.get_mut(&t.block).unwrap().told.insert(t.volume.clone(), now);
-        let volume = self.volumes.get_mut(&t.volume).unwrap();
+        let name = t.volume.clone();
+        let last = self.posts.get_mut(&t.block).unwrap().told.insert(name.clone(), now);
+        let volume = self.volumes.get_mut(&name).unwrap();
         // The figure is of all the time since the last one: only the last few seconds of it count.
         let recent = last.map_or(0.0, |last| (FEW / (now - last).max(1e-3)).min(1.0));
         volume.theirs.add(now, others * recent * self.unit_time, 1.0);
-        let (ours, theirs) = (volume.usage.sum(now).max(0.0), volume.theirs.sum(now));
+        if used > 0.0 {
+            let rate = (used - 1.0) / 100.0 * self.set.plans[volume.plan.0].nominal;
+            volume.metered.add(now, rate * self.unit_time, 1.0);
+        }
+        let told = self.set.tells_others || volume.metered.known(now);
+        let (ours, theirs) = (volume.usage.sum(now).max(0.0), self.theirs(now, &name));
+        let volume = self.volumes.get_mut(&name).unwrap();
         let known = 2.0 * self.set.mean_units * self.unit_time;
-        volume.part = (ours + known / volume.initiators) / (ours + theirs + known);
+        let part = (ours + known / volume.initiators) / (ours + theirs + known);
+        volume.part = if told { part } else { 1.0 / volume.initiators };
+    }
+
+    /// Node time that others used of the volume in the last few seconds. Where answers do not tell it, the
+    /// meter's rate for all, less one's own: late, but it adds up to the whole over the initiators.
+    fn theirs(&mut self, now: f64, name: &VolumeId) -> f64 {
+        let volume = self.volumes.get_mut(name).unwrap();
+        if self.set.tells_others {
+            return volume.theirs.sum(now);
+        }
+        (volume.metered.mean(now, 0.0) * FEW - volume.usage.sum(now)).max(0.0)
     }
 
     /// This initiator's part of the volume's reservation, in node time a second, and what its bucket spans
@@ -557,6 +584,8 @@
         // Twice the due time at most, so that one lost answer among good ones does not look like a jam.
         let (stay, was_idle) = ((delay / self.set.bands[t.band.0].due).min(2.0), t.was_idle);
         let cold = self.cold(now, block);
+        let warm_at = self.posts[&block].started + self.set.cold_for + self.set.overload_for;
+        let warm_since = self.started.max(warm_at);
         let post = self.posts.get_mut(&block).unwrap();
         if matches!(outcome, Outcome::Settled | Outcome::TimedOut) {
             self.fleet.add(now, stay, 1.0);
@@ -571,8 +600,10 @@
             Outcome::Settled => {
                 let gap = if was_idle { delay } else { (now - post.last_done).max(0.0) };
                 post.last_done = now;
-                post.usual = if cold { post.usual } else { post.settled.sum(now) / FEW };
-                post.settled.add(now, units, 1.0);
+                if !cold {
+                    post.settled.add(now, units, 1.0);
+                    post.usual = post.settled.sum(now) / (now - warm_since).clamp(FEW, LONG);
+                }
                 post.gaps.add(now, gap, estimate);
                 post.delays.add(now, delay, estimate);
                 post.strain.add(now, stay, 1.0);
@@ -739,6 +770,7 @@
             bound: (MOST_OUT / self.set.initiators).max(1.0),
             strain: Ring::new(0.1, 5),
             young: Ring::new(self.set.overload_for.max(0.1) / 8.0, 9),
+            settled: Ring::new(LONG / 8.0, 8),
             ..Post::default()
         }
     }
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -41,6 +41,11 @@
         self.totals(now).0
     }
 
+    /// Whether anything was weighed of late.
+    pub fn known(&mut self, now: f64) -> bool {
+        self.totals(now).1 > 0.0
+    }
+
     /// The mean with a prior that counts as much as `weight`.
     pub fn blend(&mut self, now: f64, prior: f64, weight: f64) -> f64 {
         let (amount, known) = self.totals(now);
--- a/src/types.rs
+++ b/src/types.rs
@@ -68,8 +68,10 @@
     pub plans: Vec<Plan>,
     pub mean_units: f64,
     pub young_units: f64,
-    /// Answers tell how much a volume used in the last finished period.
+    /// Answers tell how much a volume used in the last finished period, in percent of the plan's nominal rate.
     pub metered: bool,
+    /// Answers tell how much a node served the volume for others since its last answer.
+    pub tells_others: bool,
     pub may_cancel: bool,
     pub most_shots: u32,
     pub advises_return: bool,
@@ -99,6 +101,8 @@
     pub limit: f64,
     pub burst: f64,
     pub reservation: f64,
+    /// Units a second that such a volume is sized for.
+    pub nominal: f64,
     pub weight: f64,
     pub factor: f64,
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -45,7 +45,7 @@
 pub fn settings() -> Settings {
     let band = |repeat, scope, ordered| Band { due: 0.4, benefit: 2.0, repeat, scope, window: 1.0, ordered };
     let plan =
-        |limit, reservation, weight| Plan { limit, burst: 2.0 * limit, reservation, weight, factor: 1.0 };
+        |limit, reservation, weight| Plan { limit, burst: 2.0 * limit, reservation, weight, ..Plan::default() };
     Settings {
         initiators: 2.0,
         bands: vec![
@@ -58,6 +58,7 @@
         mean_units: 2.0,
         young_units: 8.0,
         metered: true,
+        tells_others: true,
         may_cancel: true,
         most_shots: 3,
         advises_return: true,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -143,7 +143,7 @@
     assert_eq!(rig.seen(), ["send 3 a"]);
 }
 
-#[test_case(Settings { plans: vec![Plan { limit: 0.0, burst: 0.0, reservation: 0.0, weight: 0.0, factor: 0.0 }; 3],
+#[test_case(Settings { plans: vec![Plan::default(); 3],
     ..settings() } ; "plans without reserve or weight")]
 #[test_case(Settings { mean_units: 0.0, young_units: 0.0, start_capacity: 0.0, cold_for: 0.0, overload_for: 0.0,
     key_quiet: 0.0, initiators: 1.0, ..settings() } ; "figures absent")]
