--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,6 +24,7 @@
 const NODE_PART: f64 = 0.1;
 const SLACK_PART: f64 = 0.15;
 const SLACK_ALONE: f64 = 1.0;
+const SLACK_MOST: f64 = 0.6;
 const RESERVE_PART: f64 = 1.2;
 const FEW: f64 = 3.0; // seconds over which use is compared
 /// Seconds over which this initiator's work at one node is averaged: at size it sees a node once in ten seconds.
@@ -451,7 +452,7 @@
                 _ if cold => (0, -self.set.bands[t.band.0].benefit * self.plan(&name).factor),
                 _ => self.rank(now, &name, estimate),
             };
-            if stay <= self.room(&name, rank.0, full) && best.is_none_or(|(known, _)| rank < known) {
+            if stay <= self.room(now, &name, rank.0, full) && best.is_none_or(|(known, _)| rank < known) {
                 best = Some((rank, id));
             }
         }
@@ -459,12 +460,15 @@
     }
 
     /// The stay past which a transaction of this class waits.
-    fn room(&self, name: &VolumeId, class: u8, full: bool) -> f64 {
-        match class {
-            0 => RESERVE_PART,
-            _ if full => -1.0,
-            _ => SLACK_PART + SLACK_ALONE / self.volumes[name].initiators,
+    fn room(&mut self, now: f64, name: &VolumeId, class: u8, full: bool) -> f64 {
+        if class == 0 || full {
+            return if class == 0 { RESERVE_PART } else { -1.0 };
         }
+        let sized = self.plan(name).nominal * self.unit_time * FEW;
+        let theirs = self.theirs(now, name);
+        let volume = self.volumes.get_mut(name).unwrap();
+        let fit = (2.0 * sized / (volume.usage.sum(now) + theirs).max(1e-9)).min(1.0);
+        (SLACK_PART + SLACK_ALONE * fit / volume.initiators).min(SLACK_MOST)
     }
 
     /// Reserve first, by the time at which the bucket covers (or covered) the estimate; then slack, to the
