--- a/crates/initiator/src/list.rs
+++ b/crates/initiator/src/list.rs
@@ -39,8 +39,8 @@
     pub entries: Vec<Entry>,
 }
 
-/// An entry as the core takes it.
-pub type Known = (NodeId, BlockId, Condition, f64);
+/// An entry as the core takes it. The register tells no sizes.
+pub type Known = quaypath::types::Listed;
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Row {
@@ -100,7 +100,7 @@
                 started,
                 start: entry.start,
             };
-            told.push((NodeId(row.node.as_str().into()), BlockId(row.block), condition, started));
+            told.push((NodeId(row.node.as_str().into()), BlockId(row.block), condition, started, 0.0));
             match (at, condition) {
                 (Some(at), Condition::Gone) => drop(self.rows.remove(at)),
                 (Some(at), _) => self.rows[at] = row,
@@ -115,7 +115,7 @@
 impl Row {
     fn known(&self) -> Known {
         let condition = if self.ready { Condition::Ready } else { Condition::Draining };
-        (NodeId(self.node.as_str().into()), BlockId(self.block), condition, self.started)
+        (NodeId(self.node.as_str().into()), BlockId(self.block), condition, self.started, 0.0)
     }
 }
 
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -9,7 +9,7 @@
 
 use quaypath::brain::Brain;
 use quaypath::types::{
-    BandId, BlockId, Condition, ExtentId, ListScope, NodeId, Outbox, Outcome, PlanId, TransactionId, VolumeId,
+    BandId, BlockId, Condition, ExtentId, ListScope, Listed, NodeId, Outbox, Outcome, PlanId, TransactionId, VolumeId,
 };
 
 use crate::settings::{self, Names};
@@ -267,7 +267,7 @@
     }
 }
 
-fn entry(line: &str) -> Result<(NodeId, BlockId, Condition, f64), String> {
+fn entry(line: &str) -> Result<Listed, String> {
     let fields = Fields::split(line);
     if fields.name != "ENTRY" {
         return Err(format!("{}: an ENTRY was expected", fields.name));
@@ -280,11 +280,11 @@
         other => return Err(format!("ENTRY: field Condition: unknown value '{other}'")),
     };
     let block = BlockId(fields.value(3, "Block")?.unwrap_or(-1));
-    Ok((fields.node(0)?, block, condition, fields.time(6, "StartTime")?))
+    Ok((fields.node(0)?, block, condition, fields.time(6, "StartTime")?, fields.time(5, "Scale")?))
 }
 
 fn event(
-    fields: &Fields, entries: Vec<(NodeId, BlockId, Condition, f64)>, name: &str,
+    fields: &Fields, entries: Vec<Listed>, name: &str,
     instances: &mut BTreeMap<String, Instance>, now: f64, out: &mut Reply,
 ) -> Result<(), String> {
     match fields.name {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -86,6 +86,8 @@
     node: Option<NodeId>,
     ready: bool,
     started: f64,
+    /// By the list, against other nodes.
+    size: f64,
     out: f64,
     bound: f64,
     misses: i32,
@@ -197,7 +199,7 @@
     }
 
     pub fn list_known(
-        &mut self, now: f64, scope: ListScope, entries: &[(NodeId, BlockId, Condition, f64)],
+        &mut self, now: f64, scope: ListScope, entries: &[Listed],
         out: &mut impl Outbox,
     ) {
         if scope == ListScope::Failed {
@@ -212,7 +214,7 @@
                 post.ready &= entries.iter().any(|(node, ..)| Some(node) == post.node.as_ref());
             }
         }
-        for (node, block, condition, started) in entries {
+        for (node, block, condition, started, size) in entries {
             let ours = self.posts.get(block).is_some_and(|post| post.node.as_ref() == Some(node));
             if *condition != Condition::Ready {
                 if ours {
@@ -231,6 +233,7 @@
                 self.posts.insert(*block, post);
             }
             self.post(*block).ready = true;
+            self.post(*block).size = if *size > 0.0 { *size } else { 1.0 };
             self.pump(now, *block, out);
         }
     }
@@ -261,7 +264,7 @@
         let spent = Some(self.longest[band.0] - budget).filter(|spent| *spent < explained).unwrap_or(0.0);
         let due = now + (self.set.bands[band.0].due - spent).min(budget);
         let (late, movable) = (due <= now, block.is_none());
-        let block = block.unwrap_or_else(|| self.place(now));
+        let block = block.unwrap_or_else(|| self.place(now, units));
         let estimate = units * self.unit_time;
         // Given up while the stay at the node, as its last answers were, would still fit.
         let sojourn = estimate * self.post(block).delays.mean(now, 1.0);
@@ -310,7 +313,8 @@
             self.end(now, id, out);
         } else if self.may_send(now, id) && now < self.transactions[&id].give_up {
             let t = &self.transactions[&id];
-            let block = if t.movable && t.maybe_ran.is_none() { self.place(now) } else { t.block };
+            let (block, units) = (t.block, t.units);
+            let block = if t.movable && t.maybe_ran.is_none() { self.place(now, units) } else { block };
             let t = self.transactions.get_mut(&id).unwrap();
             t.block = block;
             out.set_timer(t.give_up - now, id.0 << 2 | TAG_GIVE_UP);
@@ -640,14 +644,16 @@
     // Exceptions.
 
     /// Where a new object goes: the node with the most credit left, by chance among equals.
-    fn place(&mut self, now: f64) -> BlockId {
+    fn place(&mut self, now: f64, units: f64) -> BlockId {
         let mut best = (f64::NEG_INFINITY, BlockId(0));
         for block in self.posts.keys().copied().collect::<Vec<_>>() {
+            let stay = self.stay(now, block);
+            let young = if self.cold(now, block) && !self.young_bears(now, block, units) { MOST_OUT } else { 0.0 };
             let post = &self.posts[&block];
             let shut = if post.ready && now >= post.next_try { 0.0 } else { 1e6 };
-            let young = if self.cold(now, block) { MOST_OUT } else { 0.0 };
-            let credit = post.bound.floor() - post.out - post.held() - shut - young
-                + 0.5 * self.chance.generate::<f64>();
+            // Among equals each gets its part by size.
+            let race = -self.chance.generate::<f64>().max(1e-9).ln() / post.size;
+            let credit = post.bound.floor() - post.out - post.held() - shut - young - stay - race.min(20.0) / 40.0;
             best = if credit > best.0 { (credit, block) } else { best };
         }
         self.post(best.1);
--- a/src/types.rs
+++ b/src/types.rs
@@ -61,6 +61,10 @@
     Failed,
 }
 
+/// A node as the register lists it: its block, its state, when it started (clock time, seconds; 0: long ago)
+/// and its size against that of other nodes (no unit; 0: not told).
+pub type Listed = (NodeId, BlockId, Condition, f64, f64);
+
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub initiators: f64,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -81,6 +81,7 @@
     pub delay: f64,
     pub used: f64,
     pub others: f64,
+    pub size: f64,
 }
 
 pub fn node(name: &str) -> NodeId {
@@ -95,7 +96,7 @@
     pub fn seeded(now: f64, seed: u64, set: Settings) -> Self {
         let mut log = Log { now, ..Log::default() };
         let brain = Brain::start(now, seed, set, &mut log);
-        Rig { brain, log, initiators: 2.0, delay: 0.05, used: 1.0, others: 0.0 }
+        Rig { brain, log, initiators: 2.0, delay: 0.05, used: 1.0, others: 0.0, size: 0.0 }
     }
 
     pub fn at(&mut self, now: f64) -> &mut Self {
@@ -105,7 +106,7 @@
 
     /// Entries are (name, block, condition, start time).
     pub fn list(&mut self, scope: ListScope, entries: &[(&str, i64, Condition, f64)]) -> &mut Self {
-        let entries: Vec<_> = entries.iter().map(|e| (node(e.0), BlockId(e.1), e.2, e.3)).collect();
+        let entries: Vec<_> = entries.iter().map(|e| (node(e.0), BlockId(e.1), e.2, e.3, self.size)).collect();
         self.brain.list_known(self.log.now, scope, &entries, &mut self.log);
         self
     }
