A plan that tells no size leaves slack its room

Two cases of tests/mechanism.rs failed since the gate by size: a nominal of 0 counted as no room at all.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -471,7 +471,8 @@
         let sized = self.plan(name).nominal * self.unit_time * FEW;
         let theirs = self.theirs(now, name);
         let volume = self.volumes.get_mut(name).unwrap();
-        let fit = (2.0 * sized / (volume.usage.sum(now) + theirs).max(1e-9)).min(1.0);
+        let used = (volume.usage.sum(now) + theirs).max(1e-9);
+        let fit = if sized > 0.0 { (2.0 * sized / used).min(1.0) } else { 1.0 };
         (SLACK_PART + SLACK_ALONE * fit / volume.initiators).min(SLACK_MOST)
     }
 
