Lost answers told by those of all nodes where a node's own are few

At 0.4 shots a second between one initiator and one node the measures of that node alone (lost over 3 s, quick answers over half a second) were nearly always empty, so LOSSY never told.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -145,7 +145,10 @@
     set: Settings,
     chance: WyRand,
     shortest: f64,
+    /// Of all nodes: stays, stays of answers alone, and the share of shots that timed out.
     fleet: Ring,
+    quick: Ring,
+    lost: Ring,
     started: f64,
     transactions: BTreeMap<TransactionId, Transaction>,
     posts: BTreeMap<BlockId, Post>,
@@ -180,6 +183,8 @@
             shortest,
             started: now,
             fleet: Ring::new(0.25, 4),
+            quick: Ring::default(),
+            lost: Ring::default(),
             longest: vec![0.0; set.bands.len()],
             // One ring forgets a little early, the other a little late, so that neither helps the budget.
             taken: Ring::new(look_back / 50.0, 50),
@@ -427,14 +432,23 @@
     /// those of the last seconds, and where these are, by all nodes. Silence tells as much as a late answer.
     fn stay(&mut self, now: f64, block: BlockId) -> f64 {
         let fleet = self.fleet.blend(now, 0.0, PRIOR);
+        let lossy = self.lossy(now, block);
         let post = self.posts.get_mut(&block).unwrap();
         let wide = post.stays.blend(now, fleet, PRIOR);
         // Not where answers get lost on the way: there shots are stopped early, and silence is no jam.
-        let waits = post.out > 0.0 && post.lost.mean(now, 0.0) <= LOSSY;
+        let waits = post.out > 0.0 && !lossy;
         let silent = if waits { (now - post.silent_since) / self.shortest } else { 0.0 };
         post.strain.blend(now, wide, PRIOR).max(silent)
     }
 
+    /// Whether answers of this node get lost on the way: many time out though those that come are quick. By
+    /// those of all nodes where its own are few.
+    fn lossy(&mut self, now: f64, block: BlockId) -> bool {
+        let (lost, quick) = (self.lost.mean(now, 0.0), self.quick.mean(now, 1.0));
+        let post = self.posts.get_mut(&block).unwrap();
+        post.lost.blend(now, lost, PRIOR) > LOSSY && post.strain.blend(now, quick, PRIOR) < 0.3
+    }
+
     /// The next transaction for this node, or when to look again.
     fn pick(&mut self, now: f64, block: BlockId, full: bool, stay: f64) -> Result<TransactionId, f64> {
         let (mut look_again, mut best) = (f64::INFINITY, None);
@@ -555,6 +569,7 @@
 
     fn send(&mut self, now: f64, id: TransactionId, out: &mut impl Outbox) {
         self.shift(id, State::Out);
+        let lossy = self.lossy(now, self.transactions[&id].block);
         let t = self.transactions.get_mut(&id).unwrap();
         let mut estimate = t.units * self.unit_time;
         let post = self.posts.get_mut(&t.block).unwrap();
@@ -577,7 +592,6 @@
         // To the outer limit, as a node may go on with what is timed out. Only where many time out though
         // others come back soon, answers get lost, and an early stop leaves time for another shot.
         let stay = (STAYS * likely).max(self.set.bands[t.band.0].due / 3.0);
-        let lossy = post.lost.mean(now, 0.0) > LOSSY && post.strain.mean(now, 1.0) < 0.3;
         let stop_at = if lossy { t.outer.min(now + stay) } else { t.outer };
         post.node.iter().for_each(|node| out.send(id, stop_at, node));
         let (first, further) = if t.shots == 1 { (t.units, 0.0) } else { (0.0, 1.0) };
@@ -592,17 +606,19 @@
         let (estimate, units, block, name) = (t.estimate, t.units, t.block, t.volume.clone());
         // Twice the due time at most, so that one lost answer among good ones does not look like a jam.
         let (stay, was_idle) = ((delay / self.set.bands[t.band.0].due).min(2.0), t.was_idle);
-        let cold = self.cold(now, block);
+        let (cold, lossy) = (self.cold(now, block), self.lossy(now, block));
         let warm_at = self.posts[&block].started + self.set.cold_for + self.set.overload_for;
         let warm_since = self.started.max(warm_at);
         let post = self.posts.get_mut(&block).unwrap();
-        if matches!(outcome, Outcome::Settled | Outcome::TimedOut) {
+        if outcome == Outcome::Settled || (outcome == Outcome::TimedOut && !lossy) {
             self.fleet.add(now, stay, 1.0);
             post.stays.add(now, stay, 1.0);
         }
         post.out = (post.out - 1.0).max(0.0);
         post.silent_since = now;
-        post.lost.add(now, f64::from(u8::from(outcome == Outcome::TimedOut)), 1.0);
+        let missed = f64::from(u8::from(outcome == Outcome::TimedOut));
+        post.lost.add(now, missed, 1.0);
+        self.lost.add(now, missed, 1.0);
         let lost = matches!(outcome, Outcome::Unreachable | Outcome::TimedOut | Outcome::Reset);
         post.misses = if lost { post.misses + 1 } else { 0 };
         match outcome {
@@ -616,6 +632,7 @@
                 post.gaps.add(now, gap, estimate);
                 post.delays.add(now, delay, estimate);
                 post.strain.add(now, stay, 1.0);
+                self.quick.add(now, stay, 1.0);
                 let strain = post.strain.mean(now, 0.0);
                 if strain > NODE_PART {
                     post.bound = (post.bound * 0.9).max(1.0);
