--- a/src/brain.rs
+++ b/src/brain.rs
@@ -465,18 +465,24 @@
             let Some(id) = line.into_iter().find(&mut ready) else { continue };
             let t = &self.transactions[&id];
             let (name, state, estimate) = (t.volume.clone(), t.state, t.estimate);
+            let band = t.band;
             let rank = match state {
                 State::Again => (2, 0.0),
                 _ if cold => (0, -self.set.bands[t.band.0].benefit * self.plan(&name).factor),
                 _ => self.rank(now, &name, estimate),
             };
-            if stay <= self.room(now, &name, rank.0, full) && best.is_none_or(|(known, _)| rank < known) {
+            if stay <= self.room(now, &name, rank.0, full) * self.worth(band) && best.is_none_or(|(known, _)| rank < known) {
                 best = Some((rank, id));
             }
         }
         best.map(|(_, id)| id).ok_or(look_again)
     }
 
+    fn worth(&self, band: BandId) -> f64 {
+        let most = self.set.bands.iter().map(|band| band.benefit).fold(1e-9, f64::max);
+        self.set.bands[band.0].benefit / most
+    }
+
     /// The stay past which a transaction of this class waits.
     fn room(&mut self, now: f64, name: &VolumeId, class: u8, full: bool) -> f64 {
         if class == 0 || full {
