What all nodes tell counts as three answers in place of two

At 0.08 to 0.4 shots a second between one initiator and one node two answers of its own outweighed what all nodes tell; noise of heavy transactions shut single nodes for 3 s.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,7 +29,7 @@
 const FEW: f64 = 3.0; // seconds over which use is compared
 /// Seconds over which this initiator's work at one node is averaged: at size it sees a node once in ten seconds.
 const LONG: f64 = 20.0;
-const PRIOR: f64 = 2.0; // answers that a wider measure counts for where a narrower one has few
+const PRIOR: f64 = 3.0; // answers that a wider measure counts for where a narrower one has few
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
