--- a/src/brain.rs
+++ b/src/brain.rs
@@ -655,7 +655,8 @@
                 post.bound = (post.bound * 0.5).max(1.0);
                 post.next_try = now + 0.02;
             }
-            _ if lost && (outcome == Outcome::Unreachable || post.misses >= 3) => {
+            // Three in a row are chance where every fourth answer is lost on the way.
+            _ if lost && (outcome == Outcome::Unreachable || post.misses >= if lossy { 6 } else { 3 }) => {
                 post.bound = 1.0;
                 let wait = 0.05 * f64::from(1 << post.misses.min(5));
                 self.post(block).next_try = now + wait * self.spread();
