--- a/crates/initiator/src/core.rs
+++ b/crates/initiator/src/core.rs
@@ -162,7 +162,7 @@
         if scope == ListScope::Failed && self.must_ask {
             out.set_timer(1.0, 0);
         }
-        for (node, block, condition, _) in entries {
+        for (node, block, condition, ..) in entries {
             if *condition == Condition::Ready {
                 self.nodes.insert(*block, node.clone());
             }
--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -582,7 +582,7 @@
     /// back at once, and what the kernel still holds when the grace ends is reset.
     fn shut(&mut self, known: &[Known], scope: ListScope) {
         let mut shut: Vec<NodeId> = Vec::new();
-        for (node, _, condition, started) in known {
+        for (node, _, condition, started, _) in known {
             match condition {
                 Condition::Ready => {
                     let Some(of) = self.nodes.get_mut(node) else { continue };
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -4,11 +4,11 @@
 
 use quaypath::types::{Band, Plan, Repeat, Scope, Settings};
 use quaypath_rules as rules;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{bad, Bad};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Mode {
     /// Changes arrive by themselves.
@@ -17,7 +17,7 @@
     Asked,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listen {
     #[serde(rename = "@address")]
     pub address: String,
@@ -29,7 +29,7 @@
     pub open: usize,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Register {
     #[serde(rename = "@address")]
     pub address: String,
@@ -40,7 +40,7 @@
 }
 
 /// Waits on connections, seconds.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Connections {
     #[serde(rename = "@connect")]
     pub connect: f64,
@@ -64,7 +64,7 @@
     1
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Digests {
     #[default]
@@ -74,153 +74,161 @@
     Both,
 }
 
-#[derive(Deserialize)]
-struct BandRuleForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct BandRuleForm {
     #[serde(rename = "@band")]
-    band: String,
-    #[serde(rename = "@first")]
-    first: Option<u32>,
-    #[serde(rename = "@last")]
-    last: Option<u32>,
-    #[serde(rename = "@least")]
-    least: Option<u32>,
-    #[serde(rename = "@most")]
-    most: Option<u32>,
+    pub(crate) band: String,
+    #[serde(rename = "@first", skip_serializing_if = "Option::is_none")]
+    pub(crate) first: Option<u32>,
+    #[serde(rename = "@last", skip_serializing_if = "Option::is_none")]
+    pub(crate) last: Option<u32>,
+    #[serde(rename = "@least", skip_serializing_if = "Option::is_none")]
+    pub(crate) least: Option<u32>,
+    #[serde(rename = "@most", skip_serializing_if = "Option::is_none")]
+    pub(crate) most: Option<u32>,
 }
 
-#[derive(Deserialize)]
-struct PlacementForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PlacementForm {
     #[serde(rename = "@volume")]
-    volume: u32,
+    pub(crate) volume: u32,
     #[serde(rename = "@from")]
-    from: u64,
+    pub(crate) from: u64,
     #[serde(rename = "@blocks")]
-    blocks: u64,
+    pub(crate) blocks: u64,
     #[serde(rename = "@node")]
-    node: u32,
+    pub(crate) node: u32,
 }
 
-#[derive(Deserialize)]
-struct AllowForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct AllowForm {
     #[serde(rename = "@shots")]
-    shots: u32,
+    pub(crate) shots: u32,
     #[serde(rename = "@cancel")]
-    cancel: bool,
+    pub(crate) cancel: bool,
     #[serde(rename = "@copies")]
-    copies: bool,
+    pub(crate) copies: bool,
     #[serde(rename = "@longest-return", default)]
-    longest_return: f64,
+    pub(crate) longest_return: f64,
 }
 
-#[derive(Deserialize)]
-struct FurtherForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct FurtherForm {
     #[serde(rename = "@share")]
-    share: f64,
+    pub(crate) share: f64,
     #[serde(rename = "@free")]
-    free: f64,
+    pub(crate) free: f64,
     #[serde(rename = "@look-back")]
-    look_back: f64,
+    pub(crate) look_back: f64,
 }
 
-#[derive(Deserialize)]
-struct RulesForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct RulesForm {
     #[serde(rename = "@answer-slack")]
-    answer_slack: f64,
+    pub(crate) answer_slack: f64,
     #[serde(rename = "@drain-grace")]
-    drain_grace: f64,
+    pub(crate) drain_grace: f64,
     #[serde(rename = "@start-capacity")]
-    start_capacity: f64,
+    pub(crate) start_capacity: f64,
     #[serde(rename = "@cold-for")]
-    cold_for: f64,
+    pub(crate) cold_for: f64,
     #[serde(rename = "@fall-multiple")]
-    fall_multiple: f64,
+    pub(crate) fall_multiple: f64,
     #[serde(rename = "@overload-for")]
-    overload_for: f64,
+    pub(crate) overload_for: f64,
     #[serde(rename = "@young-units")]
-    young_units: f64,
+    pub(crate) young_units: f64,
     #[serde(rename = "@key-quiet")]
-    key_quiet: f64,
-    further: Option<FurtherForm>,
+    pub(crate) key_quiet: f64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) further: Option<FurtherForm>,
 }
 
-#[derive(Deserialize)]
-struct UnitsForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct UnitsForm {
     #[serde(rename = "@mean")]
-    mean: f64,
+    pub(crate) mean: f64,
     #[serde(rename = "@most")]
-    most: u32,
+    pub(crate) most: u32,
     #[serde(rename = "@metering")]
-    metering: f64,
+    pub(crate) metering: f64,
+    /// Nodes tell what others used of a volume.
+    #[serde(rename = "@tells-others", default = "yes")]
+    pub(crate) tells_others: bool,
+}
+
+fn yes() -> bool {
+    true
 }
 
-#[derive(Deserialize)]
-struct LayoutForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LayoutForm {
     #[serde(rename = "@initiators")]
-    initiators: u32,
+    pub(crate) initiators: u32,
     #[serde(rename = "@nodes")]
-    nodes: u32,
+    pub(crate) nodes: u32,
     #[serde(rename = "@zones")]
-    zones: u32,
+    pub(crate) zones: u32,
     #[serde(rename = "@extent-blocks")]
-    extent_blocks: u64,
+    pub(crate) extent_blocks: u64,
 }
 
-#[derive(Deserialize)]
-struct BandForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct BandForm {
     #[serde(rename = "@name")]
-    name: String,
+    pub(crate) name: String,
     #[serde(rename = "@due")]
-    due: f64,
+    pub(crate) due: f64,
     #[serde(rename = "@outer")]
-    outer: f64,
+    pub(crate) outer: f64,
     #[serde(rename = "@benefit")]
-    benefit: f64,
+    pub(crate) benefit: f64,
     #[serde(rename = "@repeat")]
-    repeat: String,
-    #[serde(rename = "@scope", default)]
-    scope: String,
+    pub(crate) repeat: String,
+    #[serde(rename = "@scope", default, skip_serializing_if = "String::is_empty")]
+    pub(crate) scope: String,
     #[serde(rename = "@window", default)]
-    window: f64,
+    pub(crate) window: f64,
     #[serde(rename = "@ordered", default)]
-    ordered: bool,
+    pub(crate) ordered: bool,
     #[serde(rename = "@writes")]
-    writes: bool,
+    pub(crate) writes: bool,
 }
 
-#[derive(Deserialize)]
-struct PlanForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PlanForm {
     #[serde(rename = "@name")]
-    name: String,
+    pub(crate) name: String,
     #[serde(rename = "@nominal")]
-    nominal: f64,
+    pub(crate) nominal: f64,
     #[serde(rename = "@reservation")]
-    reservation: f64,
+    pub(crate) reservation: f64,
     #[serde(rename = "@weight")]
-    weight: f64,
+    pub(crate) weight: f64,
     #[serde(rename = "@factor")]
-    factor: f64,
+    pub(crate) factor: f64,
     #[serde(rename = "@limit", default)]
-    limit: f64,
+    pub(crate) limit: f64,
     #[serde(rename = "@burst", default)]
-    burst: f64,
+    pub(crate) burst: f64,
     #[serde(rename = "@slack", default)]
-    slack: f64,
+    pub(crate) slack: f64,
 }
 
-#[derive(Deserialize)]
-struct VolumesForm {
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct VolumesForm {
     #[serde(rename = "@plan")]
-    plan: String,
+    pub(crate) plan: String,
     #[serde(rename = "@first")]
-    first: u32,
+    pub(crate) first: u32,
     #[serde(rename = "@count")]
-    count: u32,
+    pub(crate) count: u32,
     #[serde(rename = "@initiators")]
-    initiators: u32,
+    pub(crate) initiators: u32,
     #[serde(rename = "@nodes")]
-    nodes: u32,
+    pub(crate) nodes: u32,
     #[serde(rename = "@blocks", default = "blocks")]
-    blocks: u64,
+    pub(crate) blocks: u64,
 }
 
 /// Size of a volume where the file states none: 512 MiB.
@@ -228,24 +236,25 @@
     1 << 20
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename = "deployment")]
 pub(crate) struct Form {
     #[serde(rename = "@name")]
-    name: String,
-    listen: Listen,
-    register: Register,
-    connections: Connections,
-    allow: AllowForm,
-    rules: RulesForm,
-    units: UnitsForm,
-    layout: LayoutForm,
-    band: Vec<BandForm>,
-    plan: Vec<PlanForm>,
+    pub(crate) name: String,
+    pub(crate) listen: Listen,
+    pub(crate) register: Register,
+    pub(crate) connections: Connections,
+    pub(crate) allow: AllowForm,
+    pub(crate) rules: RulesForm,
+    pub(crate) units: UnitsForm,
+    pub(crate) layout: LayoutForm,
+    pub(crate) band: Vec<BandForm>,
+    pub(crate) plan: Vec<PlanForm>,
     #[serde(rename = "band-rule", default)]
-    band_rule: Vec<BandRuleForm>,
-    volumes: Vec<VolumesForm>,
+    pub(crate) band_rule: Vec<BandRuleForm>,
+    pub(crate) volumes: Vec<VolumesForm>,
     #[serde(default)]
-    placement: Vec<PlacementForm>,
+    pub(crate) placement: Vec<PlacementForm>,
 }
 
 /// One volume: an NVMe namespace whose id is the volume's number.
@@ -541,7 +550,7 @@
         mean_units: form.units.mean,
         young_units: figures.young_units,
         metered: form.units.metering > 0.0,
-        tells_others: true,
+        tells_others: form.units.tells_others,
         may_cancel: allow.cancel,
         most_shots: allow.shots,
         advises_return: allow.longest_return > 0.0,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 mod day;
 mod deployment;
 mod load;
+pub mod migrate;
 
 use std::path::{Path, PathBuf};
 
@@ -107,15 +108,21 @@
     }
 }
 
-/// Schema, checks, decoded; and the text that it was decoded from.
-fn load<T, F: serde::de::DeserializeOwned>(
-    path: &Path, root: &str, decode: impl FnOnce(F) -> Result<T, Bad>,
-) -> Result<(T, String), Error> {
+/// By the schema, and the text that it was read from.
+fn load_form<F: serde::de::DeserializeOwned>(path: &Path, root: &str) -> Result<(F, String), Error> {
     let text = text_of(path)?;
     nested(path, &text)?;
     check(path, &text, root)?;
-    let form: F = quick_xml::de::from_str(&text)
+    let form = quick_xml::de::from_str(&text)
         .map_err(|error| Error::Xml { path: path.into(), what: error.to_string() })?;
+    Ok((form, text))
+}
+
+/// Schema, checks, decoded; and the text that it was decoded from.
+fn load<T, F: serde::de::DeserializeOwned>(
+    path: &Path, root: &str, decode: impl FnOnce(F) -> Result<T, Bad>,
+) -> Result<(T, String), Error> {
+    let (form, text) = load_form(path, root)?;
     let decoded = decode(form).map_err(|bad| bad.at(path))?;
     Ok((decoded, text))
 }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -9,7 +9,8 @@
 
 use quaypath::brain::Brain;
 use quaypath::types::{
-    BandId, BlockId, Condition, ExtentId, ListScope, Listed, NodeId, Outbox, Outcome, PlanId, TransactionId, VolumeId,
+    BandId, BlockId, Condition, ExtentId, ListScope, Listed, NodeId, Outbox, Outcome, PlanId, TransactionId,
+    VolumeId,
 };
 
 use crate::settings::{self, Names};
@@ -284,8 +285,8 @@
 }
 
 fn event(
-    fields: &Fields, entries: Vec<Listed>, name: &str,
-    instances: &mut BTreeMap<String, Instance>, now: f64, out: &mut Reply,
+    fields: &Fields, entries: Vec<Listed>, name: &str, instances: &mut BTreeMap<String, Instance>, now: f64,
+    out: &mut Reply,
 ) -> Result<(), String> {
     match fields.name {
         "START" => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -201,10 +201,7 @@
         }
     }
 
-    pub fn list_known(
-        &mut self, now: f64, scope: ListScope, entries: &[Listed],
-        out: &mut impl Outbox,
-    ) {
+    pub fn list_known(&mut self, now: f64, scope: ListScope, entries: &[Listed], out: &mut impl Outbox) {
         if scope == ListScope::Failed {
             // May mean a lost subscription. Spaced and jittered: a crowd of repeats would choke the register.
             self.failed_calls += 1;
@@ -231,7 +228,8 @@
                 let old = (LONG / (now - before.last_done).max(LONG)).min(1.0);
                 let Post { lines, again, out, .. } = before;
                 // A replacement that is listed as smaller bears as much less.
-                let smaller = if *size > 0.0 && before.size > 0.0 { (size / before.size).min(1.0) } else { 1.0 };
+                let smaller =
+                    if *size > 0.0 && before.size > 0.0 { (size / before.size).min(1.0) } else { 1.0 };
                 let usual = before.usual * old * smaller;
                 let (node, out) = (Some(node.clone()), if ours { out } else { 0.0 });
                 let post = Post { node, started: *started, lines, again, out, usual, ..self.fresh_post() };
@@ -471,7 +469,9 @@
                 _ if cold => (0, -self.set.bands[t.band.0].benefit * self.plan(&name).factor),
                 _ => self.rank(now, &name, estimate),
             };
-            if stay <= self.room(now, &name, rank.0, full) * self.worth(band) && best.is_none_or(|(known, _)| rank < known) {
+            if stay <= self.room(now, &name, rank.0, full) * self.worth(band)
+                && best.is_none_or(|(known, _)| rank < known)
+            {
                 best = Some((rank, id));
             }
         }
@@ -673,12 +673,14 @@
         let mut best = (f64::NEG_INFINITY, BlockId(0));
         for block in self.posts.keys().copied().collect::<Vec<_>>() {
             let stay = self.stay(now, block);
-            let young = if self.cold(now, block) && !self.young_bears(now, block, units) { MOST_OUT } else { 0.0 };
+            let young =
+                if self.cold(now, block) && !self.young_bears(now, block, units) { MOST_OUT } else { 0.0 };
             let post = &self.posts[&block];
             let shut = if post.ready && now >= post.next_try { 0.0 } else { 1e6 };
             // Among equals each gets its part by size.
             let race = -self.chance.generate::<f64>().max(1e-9).ln() / post.size;
-            let credit = post.bound.floor() - post.out - post.held() - shut - young - stay - race.min(20.0) / 40.0;
+            let credit =
+                post.bound.floor() - post.out - post.held() - shut - young - stay - race.min(20.0) / 40.0;
             best = if credit > best.0 { (credit, block) } else { best };
         }
         self.post(best.1);
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -44,8 +44,13 @@
 /// Plan 0 has a limit and no reserve, 1 a reserve and weight 1, 2 no reserve and weight 4.
 pub fn settings() -> Settings {
     let band = |repeat, scope, ordered| Band { due: 0.4, benefit: 2.0, repeat, scope, window: 1.0, ordered };
-    let plan =
-        |limit, reservation, weight| Plan { limit, burst: 2.0 * limit, reservation, weight, ..Plan::default() };
+    let plan = |limit, reservation, weight| Plan {
+        limit,
+        burst: 2.0 * limit,
+        reservation,
+        weight,
+        ..Plan::default()
+    };
     Settings {
         initiators: 2.0,
         bands: vec![
@@ -106,7 +111,8 @@
 
     /// Entries are (name, block, condition, start time).
     pub fn list(&mut self, scope: ListScope, entries: &[(&str, i64, Condition, f64)]) -> &mut Self {
-        let entries: Vec<_> = entries.iter().map(|e| (node(e.0), BlockId(e.1), e.2, e.3, self.size)).collect();
+        let entries: Vec<_> =
+            entries.iter().map(|e| (node(e.0), BlockId(e.1), e.2, e.3, self.size)).collect();
         self.brain.list_known(self.log.now, scope, &entries, &mut self.log);
         self
     }
