--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,6 +26,8 @@
 const SLACK_ALONE: f64 = 1.0;
 const SLACK_MOST: f64 = 0.6;
 const RESERVE_PART: f64 = 1.2;
+/// A new object waits by this many mean stays of all nodes: it finds a quick one while what is fixed can't.
+const MOVABLE: f64 = 2.0;
 const FEW: f64 = 3.0; // seconds over which use is compared
 /// Seconds over which this initiator's work at one node is averaged: at size it sees a node once in ten seconds.
 const LONG: f64 = 20.0;
@@ -414,7 +416,7 @@
                         self.send(now, id, out);
                         continue;
                     }
-                    Err(at) => wake = if stay > SLACK_PART { at.min(now + 0.05) } else { at },
+                    Err(at) => wake = if full && stay <= SLACK_PART { at } else { at.min(now + 0.05) },
                 }
             }
             let post = self.post(block);
@@ -450,7 +452,7 @@
     /// The next transaction for this node, or when to look again.
     fn pick(&mut self, now: f64, block: BlockId, full: bool, stay: f64) -> Result<TransactionId, f64> {
         let (mut look_again, mut best) = (f64::INFINITY, None);
-        let cold = self.cold(now, block);
+        let (cold, fleet) = (self.cold(now, block), self.quick.blend(now, 0.0, PRIOR));
         let heads = |line: &VecDeque<TransactionId>| line.iter().copied().take(LOOK_AHEAD).collect();
         let post = &self.posts[&block];
         let lines: Vec<Vec<_>> = post.lines.values().chain([&post.again]).map(heads).collect();
@@ -463,12 +465,13 @@
             let Some(id) = line.into_iter().find(&mut ready) else { continue };
             let t = &self.transactions[&id];
             let (name, state, estimate) = (t.volume.clone(), t.state, t.estimate);
-            let band = t.band;
+            let (band, movable) = (t.band, t.movable);
             let rank = match state {
                 State::Again => (2, 0.0),
                 _ if cold => (0, -self.set.bands[t.band.0].benefit * self.plan(&name).factor),
                 _ => self.rank(now, &name, estimate),
             };
+            let stay = if movable { stay.max(MOVABLE * fleet) } else { stay };
             if stay <= self.room(now, &name, rank.0, full) * self.worth(band)
                 && best.is_none_or(|(known, _)| rank < known)
             {
