--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,6 +35,9 @@
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
+/// Part of the rule's budget for a cold node that is claimed by what the node there settled before; the rest is
+/// for chance, and for a replacement that does less.
+const YOUNG_PART: f64 = 0.85;
 const LOOK_AHEAD: usize = 16; // transactions of a line that are looked at, if those before have to wait
 const IDLE: f64 = 60.0; // seconds without use, at least, after which an account is let go
 const GAP_CLAMP: f64 = 3.0; // times what the node's pace makes likely, that a single gap counts at most
@@ -791,7 +794,7 @@
         let post = self.posts.get_mut(&block).unwrap();
         let age = (now - post.started - window).clamp(0.0, warm);
         let warmth = first + (1.0 - first) * age / warm;
-        let usual = self.set.fall_multiple * post.usual * window;
+        let usual = YOUNG_PART * self.set.fall_multiple * post.usual * window;
         let part = (bears / first).max(usual) * warmth;
         let (saved, at) = post.saved.unwrap_or((phase * mean, now));
         let saved = (saved + part * (now - at) / window).min(units.max(mean));
