Use before a restart is kept over several restarts and fades past 40 s

Seen in review: a node replaced twice without an answer in between lost its claim, as the time of the last answer was that of the new life. The time of the figure is now kept with it, from which it fades.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,8 +19,9 @@
 const MOST_OUT: f64 = 20.0; // the design's bound on shots out at one node for one initiator
 /// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
 /// mechanism still has the choice. Even one shot from each initiator can be a queue, so slack waits past the
-/// second figure and, over the volume's initiators, the third: a surge comes through all of them at once.
-/// Past the last the reserves wait too, or the one shot of each initiator keeps a jam up without end.
+/// second figure and, over the volume's initiators, the third: a surge comes through all of them at once. A lone
+/// initiator is not alone at the node, so the fourth is the most. Past the last the reserves wait too, or the
+/// one shot of each initiator keeps a jam up without end.
 const NODE_PART: f64 = 0.1;
 const SLACK_PART: f64 = 0.15;
 const SLACK_ALONE: f64 = 1.0;
@@ -29,14 +30,14 @@
 /// A new object waits by this many mean stays of all nodes: it finds a quick one while what is fixed can't.
 const MOVABLE: f64 = 2.0;
 const FEW: f64 = 3.0; // seconds over which use is compared
-/// Seconds over which this initiator's work at one node is averaged: at size it sees a node once in ten seconds.
+/// Seconds over which this initiator's work at a node is averaged: at size it sees one every ten seconds.
 const LONG: f64 = 20.0;
 const PRIOR: f64 = 3.0; // answers that a wider measure counts for where a narrower one has few
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
-/// Part of the rule's budget for a cold node that is claimed by what the node there settled before; the rest is
-/// for chance, and for a replacement that does less.
+/// Part of the rule's budget for a cold node that is claimed by what the node there settled before; the rest
+/// is for chance, and for a replacement that does less.
 const YOUNG_PART: f64 = 0.85;
 const LOOK_AHEAD: usize = 16; // transactions of a line that are looked at, if those before have to wait
 const IDLE: f64 = 60.0; // seconds without use, at least, after which an account is let go
@@ -118,6 +119,7 @@
     /// Units that it settled while warm, and how many a second that was up to its last answer then.
     settled: Ring,
     usual: f64,
+    usual_at: f64,
 }
 
 impl Post {
@@ -229,15 +231,13 @@
             }
             if !ours || self.posts[block].started != *started {
                 let before = self.posts.remove(block).unwrap_or_default();
-                // Others may have taken over work that this initiator had before: old news counts less.
-                let old = (LONG / (now - before.last_done).max(LONG)).min(1.0);
-                let Post { lines, again, out, .. } = before;
+                let Post { lines, again, out, usual_at, .. } = before;
                 // A replacement that is listed as smaller bears as much less.
                 let smaller =
                     if *size > 0.0 && before.size > 0.0 { (size / before.size).min(1.0) } else { 1.0 };
-                let usual = before.usual * old * smaller;
+                let usual = before.usual * smaller;
                 let (node, out) = (Some(node.clone()), if ours { out } else { 0.0 });
-                let post = Post { node, started: *started, lines, again, out, usual, ..self.fresh_post() };
+                let post = Post { node, started: *started, lines, again, out, usual, usual_at, ..self.fresh_post() };
                 self.posts.insert(*block, post);
             }
             self.post(*block).ready = true;
@@ -455,7 +455,7 @@
     /// The next transaction for this node, or when to look again.
     fn pick(&mut self, now: f64, block: BlockId, full: bool, stay: f64) -> Result<TransactionId, f64> {
         let (mut look_again, mut best) = (f64::INFINITY, None);
-        let (cold, fleet) = (self.cold(now, block), self.quick.blend(now, 0.0, PRIOR));
+        let (cold, all) = (self.cold(now, block), self.quick.blend(now, 0.0, PRIOR));
         let heads = |line: &VecDeque<TransactionId>| line.iter().copied().take(LOOK_AHEAD).collect();
         let post = &self.posts[&block];
         let lines: Vec<Vec<_>> = post.lines.values().chain([&post.again]).map(heads).collect();
@@ -474,7 +474,7 @@
                 _ if cold => (0, -self.set.bands[t.band.0].benefit * self.plan(&name).factor),
                 _ => self.rank(now, &name, estimate),
             };
-            let stay = if movable { stay.max(MOVABLE * fleet) } else { stay };
+            let stay = if movable { stay.max(MOVABLE * all) } else { stay };
             if stay <= self.room(now, &name, rank.0, full) * self.worth(band)
                 && best.is_none_or(|(known, _)| rank < known)
             {
@@ -484,6 +484,8 @@
         best.map(|(_, id)| id).ok_or(look_again)
     }
 
+    /// Part of the room that a band has by its benefit: what can wait long is there whenever a jammed node
+    /// opens, while what can't has been given up.
     fn worth(&self, band: BandId) -> f64 {
         let most = self.set.bands.iter().map(|band| band.benefit).fold(1e-9, f64::max);
         self.set.bands[band.0].benefit / most
@@ -638,12 +640,13 @@
         post.misses = if lost { post.misses + 1 } else { 0 };
         match outcome {
             Outcome::Settled => {
-                // Never above the delay: a completion before the send was of another time, as after a lost answer.
+                // Never above the delay: after a lost answer the last completion was of another time.
                 let gap = if was_idle { delay } else { (now - post.last_done).clamp(0.0, delay.max(0.0)) };
                 post.last_done = now;
                 if !cold {
                     post.settled.add(now, units, 1.0);
                     post.usual = post.settled.sum(now) / (now - warm_since).clamp(FEW, LONG);
+                    post.usual_at = now;
                 }
                 post.gaps.add(now, gap, estimate);
                 post.delays.add(now, delay, estimate);
@@ -798,7 +801,9 @@
         let post = self.posts.get_mut(&block).unwrap();
         let age = (now - post.started - window).clamp(0.0, warm);
         let warmth = first + (1.0 - first) * age / warm;
-        let usual = YOUNG_PART * self.set.fall_multiple * post.usual * window;
+        // Others may have taken over work that this initiator had long before the start.
+        let old = 2.0 * LONG / (post.started - post.usual_at).max(2.0 * LONG);
+        let usual = YOUNG_PART * self.set.fall_multiple * post.usual * old * window;
         let part = (bears / first).max(usual) * warmth;
         let (saved, at) = post.saved.unwrap_or((phase * mean, now));
         let saved = (saved + part * (now - at) / window).min(units.max(mean));
