--- a/src/types.rs
+++ b/src/types.rs
@@ -72,7 +72,7 @@
     pub plans: Vec<Plan>,
     pub mean_units: f64,
     pub young_units: f64,
-    /// Answers tell how much a volume used in the last finished period, in percent of the plan's nominal rate.
+    /// Answers tell how much a volume used in the last finished period, in percent of its plan's nominal.
     pub metered: bool,
     /// Answers tell how much a node served the volume for others since its last answer.
     pub tells_others: bool,
