--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,8 +20,8 @@
 /// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
 /// mechanism still has the choice. Even one shot from each initiator can be a queue, so slack waits past the
 /// second figure and, over the volume's initiators, the third: a surge comes through all of them at once. One
-/// that has a volume to itself is not alone at the node, so the fourth is the most. Past the last the reserves
-/// wait too, or the one shot of each initiator keeps a jam up without end.
+/// that has a volume to itself is not alone at the node, so the fourth is the most. Past the last reserves wait
+/// too, or the one shot of each initiator keeps a jam up without end.
 const NODE_PART: f64 = 0.1;
 const SLACK_PART: f64 = 0.15;
 const SLACK_ALONE: f64 = 1.0;
