--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -118,6 +118,19 @@
     assert_eq!(rig.sent(), sends);
 }
 
+/// Transactions that node b, up since 100, gets of a hundred a second.
+fn sent_in_four_seconds(rig: &mut Rig) -> usize {
+    let mut sent = 0;
+    for id in 1000..1400 {
+        rig.run(100.0 + 0.01 * (id - 999) as f64).take(id, 0, 2, 2.0, Some(1));
+        for id in rig.sent_ids() {
+            sent += 1;
+            rig.back(id, "b", Settled);
+        }
+    }
+    sent
+}
+
 // Found at size: with a part under one transaction an initiator of many sent nothing until the node was warm.
 #[test_case(2.0, 0, 8..=13 ; "two initiators, nothing settled there before: four units a window, growing")]
 #[test_case(100.0, 0, 0..=1 ; "of a hundred: one at the most in four seconds")]
@@ -129,14 +142,7 @@
         rig.at(80.0 + 0.05 * id as f64).take(id, 0, 2, 2.0, Some(1)).back(id, "a", Settled);
     }
     rig.at(100.0).list(Changes, &[("b", 1, Ready, 100.0)]).seen();
-    let mut sent = 0;
-    for id in 1000..1400 {
-        rig.run(100.0 + 0.01 * (id - 999) as f64).take(id, 0, 2, 2.0, Some(1));
-        for id in rig.sent_ids() {
-            sent += 1;
-            rig.back(id, "b", Settled);
-        }
-    }
+    let sent = sent_in_four_seconds(&mut rig);
     assert!(sends.contains(&sent), "{sent}");
 }
 
@@ -185,14 +191,7 @@
     }
     rig.size = size;
     rig.at(100.0).list(Changes, &[("b", 1, Ready, 100.0)]).seen();
-    let mut sent = 0;
-    for id in 1000..1400 {
-        rig.run(100.0 + 0.01 * (id - 999) as f64).take(id, 0, 2, 2.0, Some(1));
-        for id in rig.sent_ids() {
-            sent += 1;
-            rig.back(id, "b", Settled);
-        }
-    }
+    let sent = sent_in_four_seconds(&mut rig);
     assert!(sends.contains(&sent), "{sent}");
 }
 
