Highest benefit, use of a volume and warm time of a node each in one place of the module

Read once more: worth went over all bands for every line of every pick; rank and room added up the same use; cold and account the same time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -152,6 +152,7 @@
     set: Settings,
     chance: WyRand,
     shortest: f64,
+    highest: f64,
     /// Of all nodes: stays, stays of answers alone, and the share of shots that timed out.
     fleet: Ring,
     quick: Ring,
@@ -184,10 +185,12 @@
         set.initiators = set.initiators.max(1.0);
         set.mean_units = set.mean_units.max(1.0);
         let shortest = set.bands.iter().map(|band| band.due).fold(f64::INFINITY, f64::min);
+        let highest = set.bands.iter().map(|band| band.benefit).fold(1e-9, f64::max);
         let look_back = set.further.map_or(1.0, |(_, _, look_back)| look_back);
         Brain {
             chance: WyRand::new_seed(seed),
             shortest,
+            highest,
             started: now,
             fleet: Ring::new(0.25, 4),
             quick: Ring::default(),
@@ -241,8 +244,8 @@
                     Post { node, started: *started, lines, again, out, usual, usual_at, ..self.fresh_post() };
                 self.posts.insert(*block, post);
             }
-            self.post(*block).ready = true;
-            self.post(*block).size = if *size > 0.0 { *size } else { 1.0 };
+            let post = self.post(*block);
+            (post.ready, post.size) = (true, if *size > 0.0 { *size } else { 1.0 });
             self.pump(now, *block, out);
         }
     }
@@ -472,7 +475,7 @@
             let (band, movable) = (t.band, t.movable);
             let rank = match state {
                 State::Again => (2, 0.0),
-                _ if cold => (0, -self.set.bands[t.band.0].benefit * self.plan(&name).factor),
+                _ if cold => (0, -self.set.bands[band.0].benefit * self.plan(&name).factor),
                 _ => self.rank(now, &name, estimate),
             };
             let stay = if movable { stay.max(MOVABLE * all) } else { stay };
@@ -488,21 +491,20 @@
     /// Part of the room that a band has by its benefit: what can wait long is there whenever a jammed node
     /// opens, while what can't has been given up.
     fn worth(&self, band: BandId) -> f64 {
-        let most = self.set.bands.iter().map(|band| band.benefit).fold(1e-9, f64::max);
-        self.set.bands[band.0].benefit / most
+        self.set.bands[band.0].benefit / self.highest
     }
 
     /// The stay past which a transaction of this class waits.
     fn room(&mut self, now: f64, name: &VolumeId, class: u8, full: bool) -> f64 {
-        if class == 0 || full {
-            return if class == 0 { RESERVE_PART } else { -1.0 };
+        if class == 0 {
+            return RESERVE_PART;
+        } else if full {
+            return -1.0;
         }
         let sized = self.plan(name).nominal * self.unit_time * FEW;
-        let theirs = self.theirs(now, name);
-        let volume = self.volumes.get_mut(name).unwrap();
-        let used = (volume.usage.sum(now) + theirs).max(1e-9);
+        let used = self.used(now, name).max(1e-9);
         let fit = if sized > 0.0 { (2.0 * sized / used).min(1.0) } else { 1.0 };
-        (SLACK_PART + SLACK_ALONE * fit / volume.initiators).min(SLACK_MOST)
+        (SLACK_PART + SLACK_ALONE * fit / self.volumes[name].initiators).min(SLACK_MOST)
     }
 
     /// Reserve first, by the time at which the bucket covers (or covered) the estimate; then slack, to the
@@ -511,13 +513,11 @@
         let (share, span) = self.reserve(name);
         let weight = self.plan(name).weight.max(0.01);
         let reserved = self.plan(name).reservation * self.unit_time;
-        let theirs = self.theirs(now, name);
-        let volume = self.volumes.get_mut(name).unwrap();
-        let wait = (estimate.min(span) - volume.reserve) / share.max(1e-9);
+        let wait = (estimate.min(span) - self.volumes[name].reserve) / share.max(1e-9);
         if share > 0.0 && wait <= 0.0 {
             (0, wait)
         } else {
-            let beyond = volume.usage.sum(now) + theirs - reserved * FEW;
+            let beyond = self.used(now, name) - reserved * FEW;
             (1, beyond.max(0.0) / weight)
         }
     }
@@ -546,7 +546,13 @@
         volume.part = if told { part } else { 1.0 / volume.initiators };
     }
 
-    /// Node time that others used of the volume in the last few seconds. Where answers do not tell it, the
+    /// Node time that all initiators used of the volume in the last few seconds.
+    fn used(&mut self, now: f64, name: &VolumeId) -> f64 {
+        let theirs = self.theirs(now, name);
+        self.volumes.get_mut(name).unwrap().usage.sum(now) + theirs
+    }
+
+    /// What others used of that. Where answers do not tell it, the
     /// meter's rate for all, less one's own: late, but it adds up to the whole over the initiators.
     fn theirs(&mut self, now: f64, name: &VolumeId) -> f64 {
         let volume = self.volumes.get_mut(name).unwrap();
@@ -625,8 +631,7 @@
         // Twice the due time at most, so that one lost answer among good ones does not look like a jam.
         let (stay, was_idle) = ((delay / self.set.bands[t.band.0].due).min(2.0), t.was_idle);
         let (cold, lossy) = (self.cold(now, block), self.lossy(now, block));
-        let warm_at = self.posts[&block].started + self.set.cold_for + self.set.overload_for;
-        let warm_since = self.started.max(warm_at);
+        let warm_since = self.started.max(self.warm_at(block));
         let post = self.posts.get_mut(&block).unwrap();
         if outcome == Outcome::Settled || (outcome == Outcome::TimedOut && !lossy) {
             self.fleet.add(now, stay, 1.0);
@@ -786,8 +791,13 @@
 
     fn cold(&self, now: f64, block: BlockId) -> bool {
         let started = self.posts.get(&block).map_or(0.0, |post| post.started);
-        let until = started + self.set.cold_for + self.set.overload_for;
-        self.set.overload_for > 0.0 && started > 0.0 && now < until
+        self.set.overload_for > 0.0 && started > 0.0 && now < self.warm_at(block)
+    }
+
+    /// When the node counts as warm: its time to warm and one window after its start.
+    fn warm_at(&self, block: BlockId) -> f64 {
+        let started = self.posts.get(&block).map_or(0.0, |post| post.started);
+        started + self.set.cold_for + self.set.overload_for
     }
 
     /// Whether a cold node bears this in the rule's window: an even part of what it bears when just up, or if
