--- a/crates/programs/tests/migrate.rs
+++ b/crates/programs/tests/migrate.rs
@@ -1,20 +1,17 @@
 //! The move as an operator makes it: the old file serves, is carried over, and the new one serves.
 
+mod helper;
+
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
+use helper::folder;
 use test_case::test_case;
 
 fn sample(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples").join(name).canonicalize().unwrap()
 }
 
-fn folder(name: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("quaypath-move-{}-{name}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    folder
-}
-
 fn migrate(old: &Path, shape: &str, output: &Path, more: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-migrate"));
     command.arg(old).arg("--to").arg(sample(shape)).arg("--output").arg(output).args(more).output().unwrap()
@@ -42,7 +39,7 @@
 #[test_case("rail.xml", "heat.xml", ["look-up", "purchase"], ["meter-read", "reading-post"]; "to tagged writes and a budget")]
 #[test_case("signing.xml", "media.xml", ["fetch", "submit"], ["clip-read", "clip-write"]; "to repeatable bands on an asked register")]
 fn a_moved_gateway_serves_and_the_old_one_as_before(old: &str, shape: &str, was: [&str; 2], now: [&str; 2]) {
-    let folder = folder(old);
+    let folder = folder();
     let (before, new) = (std::fs::read(sample(old)).unwrap(), folder.join("new.xml"));
     // Only as many nodes as the day plays.
     let few = |text: String, from: &str| text.replace(from, "nodes=\"6\"");
@@ -62,7 +59,7 @@
 
 #[test]
 fn a_dry_run_tells_the_same_and_changes_nothing() {
-    let folder = folder("dry");
+    let folder = folder();
     let new = folder.join("new.xml");
     let dry = migrate(&sample("rail.xml"), "heat.xml", &new, &["--dry-run"]);
     assert!(!new.exists());
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -1,5 +1,7 @@
 //! A deployment: what the core, the gateway and the rules need to know of it.
 
+pub mod migrate;
+
 use std::collections::BTreeMap;
 
 use quaypath::types::{Band, Plan, Repeat, Scope, Settings};
@@ -17,7 +19,7 @@
     Asked,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Listen {
     #[serde(rename = "@address")]
     pub address: String,
@@ -29,7 +31,7 @@
     pub open: usize,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Register {
     #[serde(rename = "@address")]
     pub address: String,
@@ -40,7 +42,7 @@
 }
 
 /// Waits on connections, seconds.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Connections {
     #[serde(rename = "@connect")]
     pub connect: f64,
@@ -74,161 +76,161 @@
     Both,
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct BandRuleForm {
+#[derive(Clone, Serialize, Deserialize)]
+struct BandRuleForm {
     #[serde(rename = "@band")]
-    pub(crate) band: String,
+    band: String,
     #[serde(rename = "@first", skip_serializing_if = "Option::is_none")]
-    pub(crate) first: Option<u32>,
+    first: Option<u32>,
     #[serde(rename = "@last", skip_serializing_if = "Option::is_none")]
-    pub(crate) last: Option<u32>,
+    last: Option<u32>,
     #[serde(rename = "@least", skip_serializing_if = "Option::is_none")]
-    pub(crate) least: Option<u32>,
+    least: Option<u32>,
     #[serde(rename = "@most", skip_serializing_if = "Option::is_none")]
-    pub(crate) most: Option<u32>,
+    most: Option<u32>,
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct PlacementForm {
+#[derive(Clone, Serialize, Deserialize)]
+struct PlacementForm {
     #[serde(rename = "@volume")]
-    pub(crate) volume: u32,
+    volume: u32,
     #[serde(rename = "@from")]
-    pub(crate) from: u64,
+    from: u64,
     #[serde(rename = "@blocks")]
-    pub(crate) blocks: u64,
+    blocks: u64,
     #[serde(rename = "@node")]
-    pub(crate) node: u32,
+    node: u32,
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct AllowForm {
+#[derive(Clone, Serialize, Deserialize)]
+struct AllowForm {
     #[serde(rename = "@shots")]
-    pub(crate) shots: u32,
+    shots: u32,
     #[serde(rename = "@cancel")]
-    pub(crate) cancel: bool,
+    cancel: bool,
     #[serde(rename = "@copies")]
-    pub(crate) copies: bool,
+    copies: bool,
     #[serde(rename = "@longest-return", default)]
-    pub(crate) longest_return: f64,
+    longest_return: f64,
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct FurtherForm {
+#[derive(Clone, Serialize, Deserialize)]
+struct FurtherForm {
     #[serde(rename = "@share")]
-    pub(crate) share: f64,
+    share: f64,
     #[serde(rename = "@free")]
-    pub(crate) free: f64,
+    free: f64,
     #[serde(rename = "@look-back")]
-    pub(crate) look_back: f64,
+    look_back: f64,
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct RulesForm {
+#[derive(Clone, Serialize, Deserialize)]
+struct RulesForm {
     #[serde(rename = "@answer-slack")]
-    pub(crate) answer_slack: f64,
+    answer_slack: f64,
     #[serde(rename = "@drain-grace")]
-    pub(crate) drain_grace: f64,
+    drain_grace: f64,
     #[serde(rename = "@start-capacity")]
-    pub(crate) start_capacity: f64,
+    start_capacity: f64,
     #[serde(rename = "@cold-for")]
-    pub(crate) cold_for: f64,
+    cold_for: f64,
     #[serde(rename = "@fall-multiple")]
-    pub(crate) fall_multiple: f64,
+    fall_multiple: f64,
     #[serde(rename = "@overload-for")]
-    pub(crate) overload_for: f64,
+    overload_for: f64,
     #[serde(rename = "@young-units")]
-    pub(crate) young_units: f64,
+    young_units: f64,
     #[serde(rename = "@key-quiet")]
-    pub(crate) key_quiet: f64,
+    key_quiet: f64,
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub(crate) further: Option<FurtherForm>,
+    further: Option<FurtherForm>,
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct UnitsForm {
+#[derive(Clone, Serialize, Deserialize)]
+struct UnitsForm {
     #[serde(rename = "@mean")]
-    pub(crate) mean: f64,
+    mean: f64,
     #[serde(rename = "@most")]
-    pub(crate) most: u32,
+    most: u32,
     #[serde(rename = "@metering")]
-    pub(crate) metering: f64,
+    metering: f64,
     /// Nodes tell what others used of a volume.
     #[serde(rename = "@tells-others", default = "yes")]
-    pub(crate) tells_others: bool,
+    tells_others: bool,
 }
 
 fn yes() -> bool {
     true
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct LayoutForm {
+#[derive(Clone, Serialize, Deserialize)]
+struct LayoutForm {
     #[serde(rename = "@initiators")]
-    pub(crate) initiators: u32,
+    initiators: u32,
     #[serde(rename = "@nodes")]
-    pub(crate) nodes: u32,
+    nodes: u32,
     #[serde(rename = "@zones")]
-    pub(crate) zones: u32,
+    zones: u32,
     #[serde(rename = "@extent-blocks")]
-    pub(crate) extent_blocks: u64,
+    extent_blocks: u64,
 }
 
 #[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct BandForm {
+struct BandForm {
     #[serde(rename = "@name")]
-    pub(crate) name: String,
+    name: String,
     #[serde(rename = "@due")]
-    pub(crate) due: f64,
+    due: f64,
     #[serde(rename = "@outer")]
-    pub(crate) outer: f64,
+    outer: f64,
     #[serde(rename = "@benefit")]
-    pub(crate) benefit: f64,
+    benefit: f64,
     #[serde(rename = "@repeat")]
-    pub(crate) repeat: String,
+    repeat: String,
     #[serde(rename = "@scope", default, skip_serializing_if = "String::is_empty")]
-    pub(crate) scope: String,
+    scope: String,
     #[serde(rename = "@window", default)]
-    pub(crate) window: f64,
+    window: f64,
     #[serde(rename = "@ordered", default)]
-    pub(crate) ordered: bool,
+    ordered: bool,
     #[serde(rename = "@writes")]
-    pub(crate) writes: bool,
+    writes: bool,
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct PlanForm {
+#[derive(Clone, Serialize, Deserialize)]
+struct PlanForm {
     #[serde(rename = "@name")]
-    pub(crate) name: String,
+    name: String,
     #[serde(rename = "@nominal")]
-    pub(crate) nominal: f64,
+    nominal: f64,
     #[serde(rename = "@reservation")]
-    pub(crate) reservation: f64,
+    reservation: f64,
     #[serde(rename = "@weight")]
-    pub(crate) weight: f64,
+    weight: f64,
     #[serde(rename = "@factor")]
-    pub(crate) factor: f64,
+    factor: f64,
     #[serde(rename = "@limit", default)]
-    pub(crate) limit: f64,
+    limit: f64,
     #[serde(rename = "@burst", default)]
-    pub(crate) burst: f64,
+    burst: f64,
     #[serde(rename = "@slack", default)]
-    pub(crate) slack: f64,
+    slack: f64,
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct VolumesForm {
+#[derive(Clone, Serialize, Deserialize)]
+struct VolumesForm {
     #[serde(rename = "@plan")]
-    pub(crate) plan: String,
+    plan: String,
     #[serde(rename = "@first")]
-    pub(crate) first: u32,
+    first: u32,
     #[serde(rename = "@count")]
-    pub(crate) count: u32,
+    count: u32,
     #[serde(rename = "@initiators")]
-    pub(crate) initiators: u32,
+    initiators: u32,
     #[serde(rename = "@nodes")]
-    pub(crate) nodes: u32,
+    nodes: u32,
     #[serde(rename = "@blocks", default = "blocks")]
-    pub(crate) blocks: u64,
+    blocks: u64,
 }
 
 /// Size of a volume where the file states none: 512 MiB.
@@ -236,25 +238,25 @@
     1 << 20
 }
 
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 #[serde(rename = "deployment")]
 pub(crate) struct Form {
     #[serde(rename = "@name")]
-    pub(crate) name: String,
-    pub(crate) listen: Listen,
-    pub(crate) register: Register,
-    pub(crate) connections: Connections,
-    pub(crate) allow: AllowForm,
-    pub(crate) rules: RulesForm,
-    pub(crate) units: UnitsForm,
-    pub(crate) layout: LayoutForm,
-    pub(crate) band: Vec<BandForm>,
-    pub(crate) plan: Vec<PlanForm>,
+    name: String,
+    listen: Listen,
+    register: Register,
+    connections: Connections,
+    allow: AllowForm,
+    rules: RulesForm,
+    units: UnitsForm,
+    layout: LayoutForm,
+    band: Vec<BandForm>,
+    plan: Vec<PlanForm>,
     #[serde(rename = "band-rule", default)]
-    pub(crate) band_rule: Vec<BandRuleForm>,
-    pub(crate) volumes: Vec<VolumesForm>,
+    band_rule: Vec<BandRuleForm>,
+    volumes: Vec<VolumesForm>,
     #[serde(default)]
-    pub(crate) placement: Vec<PlacementForm>,
+    placement: Vec<PlacementForm>,
 }
 
 /// One volume: an NVMe namespace whose id is the volume's number.
--- a/crates/settings/src/migrate.rs
+++ b/crates/settings/src/deployment/migrate.rs
@@ -15,7 +15,7 @@
 use serde::Serialize;
 use thiserror::Error as Failure;
 
-use crate::deployment::{decode, BandForm, Form};
+use super::{decode, BandForm, Form, FurtherForm};
 use crate::{check, load_form, Error};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -219,7 +219,7 @@
     notes.take("rules, overload-for", &mut rules.overload_for, by.overload_for);
     notes.take("rules, young-units", &mut rules.young_units, by.young_units);
     notes.take("rules, key-quiet", &mut rules.key_quiet, by.key_quiet);
-    let told = |further: &Option<crate::deployment::FurtherForm>| {
+    let told = |further: &Option<FurtherForm>| {
         further
             .as_ref()
             .map(|form| format!("{} and {} of those taken in {} s", form.free, form.share, form.look_back))
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,14 +4,15 @@
 mod day;
 mod deployment;
 mod load;
-pub mod migrate;
 
 use std::path::{Path, PathBuf};
 
 use thiserror::Error;
 
 pub use day::{Abuse, Day, Fault, FaultKind, Fleet, LeadChange, Leave, Surge, Traffic};
-pub use deployment::{BandRule, Connections, Deployment, Digests, Listen, Mode, Placement, Register, Volume};
+pub use deployment::{
+    migrate, BandRule, Connections, Deployment, Digests, Listen, Mode, Placement, Register, Volume,
+};
 pub use load::{
     Benefit, Bounds, Closed, Draw, DrawKind, Group, Lead, Load, Open, Process, Recorded, Remap, Shape,
     Shapes, Weighted, MOST_RATE,
