--- a/crates/standins/src/register.rs
+++ b/crates/standins/src/register.rs
@@ -8,7 +8,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -24,7 +24,7 @@
 use quaypath_record::{Event as Line, Listed, Writer};
 use quaypath_settings::Mode;
 
-use crate::serve::{accept, gateway_of, read_all, Output, Running};
+use crate::serve::{accept, gateway_of, read_all, Output, Running, Stream};
 
 /// How often changes that are due are looked for, seconds.
 const LOOK: f64 = 0.01;
@@ -95,13 +95,7 @@
                 noticed: 1,
             };
             let state = Rc::new(RefCell::new(state));
-            let (weak, shared) = (Rc::downgrade(executor), state.clone());
-            let taken = move |stream: Rc<Async<TcpStream>>| {
-                if let (Some(executor), Some(number)) = (weak.upgrade(), opened(&shared, stream.clone())) {
-                    executor.spawn(serve(shared.clone(), number, stream)).detach();
-                }
-            };
-            executor.spawn(accept(listener, taken)).detach();
+            accept(executor, listener, state.clone(), opened, serve);
             executor.spawn(notice(state)).detach();
         });
         Ok(Register { address, book, record, _running: running })
@@ -142,7 +136,7 @@
 }
 
 struct Connection {
-    stream: Rc<Async<TcpStream>>,
+    stream: Stream,
     machine: Controller,
     output: Output,
     gateway: u32,
@@ -164,7 +158,7 @@
 type Shared = Rc<RefCell<State>>;
 
 /// A connection that the listener gave; none beyond the bound.
-fn opened(state: &Shared, stream: Rc<Async<TcpStream>>) -> Option<u64> {
+fn opened(state: &Shared, stream: Stream) -> Option<u64> {
     let mut this = state.borrow_mut();
     if this.connections.len() >= MOST_CONNECTIONS {
         return None;
@@ -176,7 +170,7 @@
     Some(number)
 }
 
-async fn serve(state: Shared, number: u64, stream: Rc<Async<TcpStream>>) {
+async fn serve(state: Shared, number: u64, stream: Stream) {
     let _ = read_all(&stream, |bytes| state.borrow_mut().read(number, bytes)).await;
     state.borrow_mut().close(number);
 }
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -86,17 +86,30 @@
     }
 }
 
-/// Gives every connection that comes to `taken`; what that does not keep is closed.
-pub async fn accept(listener: Async<TcpListener>, taken: impl Fn(Rc<Async<TcpStream>>)) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let _ = stream.get_ref().set_nodelay(true);
-                taken(Rc::new(stream));
+/// A connection, read and written by tasks of one executor.
+pub type Stream = Rc<Async<TcpStream>>;
+
+/// Serves every connection that comes, each in a task of its own; what `opened` gives no number is closed. Ends with
+/// the executor, which it does not keep alive.
+pub fn accept<S: 'static, F: Future<Output = ()> + 'static>(
+    executor: &Rc<LocalExecutor<'static>>, listener: Async<TcpListener>, state: Rc<RefCell<S>>,
+    opened: fn(&Rc<RefCell<S>>, Stream) -> Option<u64>, serve: fn(Rc<RefCell<S>>, u64, Stream) -> F,
+) {
+    let weak = Rc::downgrade(executor);
+    let all = async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                Timer::after(Duration::from_millis(20)).await;
+                continue;
+            };
+            let _ = stream.get_ref().set_nodelay(true);
+            let stream = Rc::new(stream);
+            if let (Some(executor), Some(number)) = (weak.upgrade(), opened(&state, stream.clone())) {
+                executor.spawn(serve(state.clone(), number, stream)).detach();
             }
-            Err(_) => drop(Timer::after(Duration::from_millis(20)).await),
         }
-    }
+    };
+    executor.spawn(all).detach();
 }
 
 /// Number of the gateway in a host name that ends with it; 0 for a host of another kind.
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -25,7 +25,7 @@
 use rand_distr::{Distribution, LogNormal};
 
 use crate::model::{Figures, Job, Node, Taken};
-use crate::serve::{accept, gateway_of, read_all, Output, Running, Switch};
+use crate::serve::{accept, gateway_of, read_all, Output, Running, Stream, Switch};
 
 /// What a target agrees to: any digests, data anywhere.
 pub const TAKES: Format = Format { header_digest: true, data_digest: true, align: 0 };
@@ -250,7 +250,7 @@
 }
 
 struct Connection {
-    stream: Rc<Async<TcpStream>>,
+    stream: Stream,
     machine: Controller,
     output: Output,
     gateway: u32,
@@ -304,18 +304,12 @@
         wake: Rc::default(),
     };
     let state = Rc::new(RefCell::new(state));
-    let (weak, shared) = (Rc::downgrade(executor), state.clone());
-    let taken = move |stream: Rc<Async<TcpStream>>| {
-        if let (Some(executor), Some(number)) = (weak.upgrade(), opened(&shared, stream.clone())) {
-            executor.spawn(serve(shared.clone(), number, stream)).detach();
-        }
-    };
-    executor.spawn(accept(listener, taken)).detach();
+    accept(executor, listener, state.clone(), opened, serve);
     executor.spawn(work(state)).detach();
 }
 
 /// A connection that the listener gave; none where a fault or the bound refuses it.
-fn opened(state: &Shared, stream: Rc<Async<TcpStream>>) -> Option<u64> {
+fn opened(state: &Shared, stream: Stream) -> Option<u64> {
     let mut this = state.borrow_mut();
     let refuse = this.faults.lock().unwrap().refuse;
     if refuse || this.connections.len() >= MOST_CONNECTIONS {
@@ -334,7 +328,7 @@
     Some(number)
 }
 
-async fn serve(state: Shared, number: u64, stream: Rc<Async<TcpStream>>) {
+async fn serve(state: Shared, number: u64, stream: Stream) {
     let faults = state.borrow().faults.clone();
     loop {
         // Deaf: the kernels hold what is sent.
