--- a/crates/programs/tests/path.rs
+++ b/crates/programs/tests/path.rs
@@ -65,6 +65,20 @@
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
+/// A node that answers the command of mark 0x100 in these ways, one after the other, and all others as it should.
+fn rogue_peer(ways: &[u32]) -> Peer {
+    let ways = ways.to_vec();
+    peer(move |sqe, marks| {
+        let mut bytes = Vec::new();
+        ways.iter().for_each(|way| rogue(*way, sqe, &mut bytes));
+        if marks.mark == 0x100 {
+            Do::Raw(bytes)
+        } else {
+            Do::Answer(0)
+        }
+    })
+}
+
 /// What a node may not send ends its connection; the purchase under way is scrapped and not repeated, and the node
 /// serves again over a fresh connection.
 #[test_case(1; "an unknown id")]
@@ -73,15 +87,7 @@
 #[test_case(4; "a digest that was not agreed on")]
 #[test_case(5; "garbage")]
 fn a_target_that_breaks_the_protocol(way: u32) {
-    let target = peer(move |sqe, marks| {
-        let mut bytes = Vec::new();
-        rogue(way, sqe, &mut bytes);
-        if marks.mark == 0x100 {
-            Do::Raw(bytes)
-        } else {
-            Do::Answer(0)
-        }
-    });
+    let target = rogue_peer(&[way]);
     let (gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     client.ask(BUY, 1, 0x100, 8);
@@ -95,16 +101,7 @@
 /// The first answer counts; the second ends the connection and changes nothing for the client.
 #[test]
 fn a_target_that_answers_twice() {
-    let target = peer(|sqe, marks| {
-        let mut bytes = Vec::new();
-        rogue(0, sqe, &mut bytes);
-        rogue(0, sqe, &mut bytes);
-        if marks.mark == 0x100 {
-            Do::Raw(bytes)
-        } else {
-            Do::Answer(0)
-        }
-    });
+    let target = rogue_peer(&[0, 0]);
     let (gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     client.ask(BUY, 1, 0x100, 8);
