--- a/crates/initiator/src/core.rs
+++ b/crates/initiator/src/core.rs
@@ -85,7 +85,12 @@
 
 /// The decision core.
 pub fn brain(now: f64, seed: u64, deployment: &Deployment, out: &mut Actions) -> Box<dyn Core> {
-    Box::new(Brain::start(now, seed, deployment.core.clone(), out))
+    of_settings(now, seed, deployment.core.clone(), out)
+}
+
+/// The decision core where its settings come from elsewhere than a deployment file.
+pub fn of_settings(now: f64, seed: u64, settings: Settings, out: &mut Actions) -> Box<dyn Core> {
+    Box::new(Brain::start(now, seed, settings, out))
 }
 
 impl Core for Brain {
--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -31,7 +31,7 @@
 use crate::core::{Action, Actions, Core};
 use crate::index::Index;
 use crate::list::{Call, Known, List, News};
-use crate::net;
+use crate::net::{self, Turns};
 use crate::outcome::{outcome, Ended, Progress};
 use crate::path::{Act, Event as Went, Path};
 use crate::wheel::Wheel;
@@ -225,7 +225,7 @@
     now: f64,
     beat_at: f64,
     timers: Wheel<Timer>,
-    pub wake: Rc<net::Notify>,
+    wake: Rc<net::Notify>,
     open: BTreeMap<u64, Open>,
     next_id: u64,
     next_connection: u64,
@@ -247,6 +247,61 @@
     me: Weak<RefCell<Instance>>,
 }
 
+impl net::Turns for Instance {
+    /// The clock as it is, between turns.
+    fn clock_now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    /// Reads the clock; every turn starts with it, and the core is called with nothing else.
+    fn begin_turn(&mut self) {
+        self.now = self.clock.now().max(self.now);
+    }
+
+    /// Feeds the core all that happened, carries out what it asks for, and writes what is to be written.
+    fn finish_turn(&mut self) {
+        loop {
+            self.hand_over();
+            if !self.events.is_empty() {
+                continue;
+            }
+            let Some(connection) = self.dirty.pop() else { break };
+            self.flush(connection);
+        }
+    }
+
+    fn next_timer(&self) -> Option<f64> {
+        self.timers.next_at()
+    }
+
+    fn ring(&mut self) {
+        let mut due = Vec::new();
+        self.timers.ring(self.now, &mut due);
+        for timer in due {
+            match timer {
+                Timer::Core(tag) => self.events.push_back(Happened::Rang(tag)),
+                Timer::Stop(id, shot) => self.end_shot(id, shot, Ended::TimeUp, Told::default()),
+                Timer::Grace(node) => self.grace_over(&node),
+                Timer::Beat => {
+                    self.counts.stalls += u64::from(self.now - self.beat_at > STALL);
+                    self.beat_at = self.now;
+                    self.timers.set(self.now + BEAT, Timer::Beat);
+                }
+                Timer::Sweep => {
+                    self.sweep();
+                    self.timers.set(self.now + SWEEP, Timer::Sweep);
+                }
+            }
+            // In order: what one timer brings about comes before the next.
+            self.hand_over();
+        }
+    }
+
+    fn wake(&self) -> Rc<net::Notify> {
+        self.wake.clone()
+    }
+}
+
 impl Instance {
     pub fn start(options: &net::Options, executor: &Rc<LocalExecutor<'static>>) -> Rc<RefCell<Instance>> {
         let (clock, deployment) = (Clock::default(), options.deployment.clone());
@@ -298,32 +353,10 @@
         instance
     }
 
-    /// The clock as it is, between turns.
-    pub fn clock_now(&self) -> f64 {
-        self.clock.now()
-    }
-
     pub fn executor(&self) -> Option<Rc<LocalExecutor<'static>>> {
         self.executor.upgrade()
     }
 
-    /// Reads the clock; every turn starts with it, and the core is called with nothing else.
-    pub fn begin_turn(&mut self) {
-        self.now = self.clock.now().max(self.now);
-    }
-
-    /// Feeds the core all that happened, carries out what it asks for, and writes what is to be written.
-    pub fn finish_turn(&mut self) {
-        loop {
-            self.hand_over();
-            if !self.events.is_empty() {
-                continue;
-            }
-            let Some(connection) = self.dirty.pop() else { break };
-            self.flush(connection);
-        }
-    }
-
     /// To the core what happened, then to the sockets what it asks for, which may make more happen.
     fn hand_over(&mut self) {
         while let Some(event) = self.events.pop_front() {
@@ -422,37 +455,6 @@
 
     // Timers.
 
-    pub fn next_timer(&self) -> Option<f64> {
-        self.timers.next_at()
-    }
-
-    pub fn until(&self, at: f64) -> std::time::Duration {
-        std::time::Duration::from_secs_f64((at - self.clock.now()).clamp(0.0, 3600.0))
-    }
-
-    pub fn ring(&mut self) {
-        let mut due = Vec::new();
-        self.timers.ring(self.now, &mut due);
-        for timer in due {
-            match timer {
-                Timer::Core(tag) => self.events.push_back(Happened::Rang(tag)),
-                Timer::Stop(id, shot) => self.end_shot(id, shot, Ended::TimeUp, Told::default()),
-                Timer::Grace(node) => self.grace_over(&node),
-                Timer::Beat => {
-                    self.counts.stalls += u64::from(self.now - self.beat_at > STALL);
-                    self.beat_at = self.now;
-                    self.timers.set(self.now + BEAT, Timer::Beat);
-                }
-                Timer::Sweep => {
-                    self.sweep();
-                    self.timers.set(self.now + SWEEP, Timer::Sweep);
-                }
-            }
-            // In order: what one timer brings about comes before the next.
-            self.hand_over();
-        }
-    }
-
     /// How long what is read now may have waited while the loop had no turn, seconds.
     fn waited(&self) -> f64 {
         let since = self.now - self.beat_at;
--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -84,16 +84,30 @@
     done.or(late).await
 }
 
+/// An instance that works by turns: NVMe/TCP's here, and any other way in and out on the same core.
+pub trait Turns {
+    /// Reads the clock.
+    fn begin_turn(&mut self);
+    /// Feeds the core all that happened and carries out what it asks for.
+    fn finish_turn(&mut self);
+    /// The clock as it is, between turns.
+    fn clock_now(&self) -> f64;
+    fn next_timer(&self) -> Option<f64>;
+    /// Told when the next timer has changed.
+    fn wake(&self) -> Rc<Notify>;
+    /// Takes note of all timers that are due.
+    fn ring(&mut self);
+}
+
 /// One turn: clock, what happened, core, output.
-pub fn turn<R>(instance: &Shared, act: impl FnOnce(&mut Instance) -> R) -> R {
+pub fn turn<T: Turns, R>(instance: &Rc<RefCell<T>>, act: impl FnOnce(&mut T) -> R) -> R {
     let mut this = instance.borrow_mut();
     let before = this.next_timer();
     this.begin_turn();
     let result = act(&mut this);
     this.finish_turn();
-    let wake = this.next_timer() != before;
-    if wake {
-        this.wake.tell();
+    if this.next_timer() != before {
+        this.wake().tell();
     }
     result
 }
@@ -122,22 +136,13 @@
     }
 }
 
-async fn accept(
-    instance: Weak<RefCell<Instance>>, executor: Weak<LocalExecutor<'static>>, listener: Async<TcpListener>,
-) {
+/// The next connection of a listener.
+pub async fn accepted(listener: &Async<TcpListener>) -> (Rc<Async<TcpStream>>, SocketAddr) {
     loop {
-        let accepted = listener.accept().await;
-        let (Some(instance), Some(executor)) = (instance.upgrade(), executor.upgrade()) else { return };
-        match accepted {
+        match listener.accept().await {
             Ok((stream, peer)) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                let stream = Rc::new(stream);
-                let opened = turn(&instance, |this| this.front_opened(stream.clone()));
-                let Some(connection) = opened else {
-                    debug!(%peer, "closed: as many client connections as allowed");
-                    continue;
-                };
-                executor.spawn(read_front(Rc::downgrade(&instance), connection, stream)).detach();
+                return (Rc::new(stream), peer);
             }
             Err(error) => {
                 // Out of descriptors, most likely: without a wait this loop would take the whole thread.
@@ -148,6 +153,21 @@
     }
 }
 
+async fn accept(
+    instance: Weak<RefCell<Instance>>, executor: Weak<LocalExecutor<'static>>, listener: Async<TcpListener>,
+) {
+    loop {
+        let (stream, peer) = accepted(&listener).await;
+        let (Some(instance), Some(executor)) = (instance.upgrade(), executor.upgrade()) else { return };
+        let opened = turn(&instance, |this| this.front_opened(stream.clone()));
+        let Some(connection) = opened else {
+            debug!(%peer, "closed: as many client connections as allowed");
+            continue;
+        };
+        executor.spawn(read_front(Rc::downgrade(&instance), connection, stream)).detach();
+    }
+}
+
 /// Reads what is there without waiting, or waits for more. 0: the peer closed.
 async fn read(stream: &Async<TcpStream>, buffer: &mut [u8]) -> io::Result<usize> {
     let mut direct = stream.get_ref();
@@ -228,13 +248,14 @@
 /// How late a timer may be before the sockets are looked at once more, seconds.
 const LATE: f64 = 0.005;
 
-async fn timers(instance: Weak<RefCell<Instance>>) {
+/// Rings the timers of an instance for as long as it lives.
+pub async fn timers<T: Turns>(instance: Weak<RefCell<T>>) {
     loop {
         let (due, wait, wake) = {
             let Some(this) = instance.upgrade() else { return };
             let this = this.borrow();
-            let due = this.next_timer();
-            (due, due.map(|at| this.until(at)), this.wake.clone())
+            let (due, now) = (this.next_timer(), this.clock_now());
+            (due, due.map(|at| Duration::from_secs_f64((at - now).clamp(0.0, 3600.0))), this.wake())
         };
         match wait {
             Some(wait) if wait.is_zero() => {}
@@ -263,7 +284,7 @@
         yield_now().await;
         yield_now().await;
         let Some(this) = instance.upgrade() else { return };
-        turn(&this, Instance::ring);
+        turn(&this, T::ring);
     }
 }
 
--- /dev/null
+++ b/crates/platform/src/back.rs
@@ -0,0 +1,280 @@
+//! The way to the nodes: connections kept, and one task for each shot.
+//!
+//! A connection carries one request at a time, and the latest used goes first, as a fresh one costs the node
+//! work. Before each use it is looked at: one that has ended, or that holds bytes nobody asked for, is closed.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::rc::{Rc, Weak};
+
+use async_io::Async;
+use futures_lite::FutureExt;
+use quaypath_http::{Part, ResponseDecoder, ResponseHead, MOST_BODY};
+use quaypath_initiator::net::{turn, within, Turns};
+use quaypath_initiator::outcome::Progress;
+
+use crate::decode::{self, Told};
+use crate::front::Answer;
+use crate::instance::{Instance, Message, Node, Shot};
+use crate::outcome::Ended;
+use crate::socket::{read_some, Read as Came};
+
+/// How long a connection rests after an answer before it is used again, seconds: a second answer right behind the
+/// first has come by then, and is seen.
+const REST: f64 = 0.001;
+/// Part of the node's idle time after which we close first.
+const IDLE_PART: f64 = 0.8;
+
+/// A connection to a node, counted while it is kept.
+pub struct Back {
+    stream: Async<TcpStream>,
+    all: Rc<Cell<usize>>,
+}
+
+impl Back {
+    fn new(stream: Async<TcpStream>, all: Rc<Cell<usize>>) -> Self {
+        all.set(all.get() + 1);
+        Back { stream, all }
+    }
+
+    /// Whether it stands and holds nothing to be read.
+    fn clean(&self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.get_ref().read(&mut byte);
+        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Drop for Back {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - 1);
+    }
+}
+
+/// Idle connections to one node, the latest used last.
+#[derive(Default)]
+pub struct Pool(Vec<(f64, Back)>);
+
+impl Pool {
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    fn put(&mut self, now: f64, back: Back) {
+        self.0.push((now, back));
+    }
+
+    /// The latest used that has rested and is clean; how many were found not to be is counted.
+    fn get(&mut self, now: f64, stale: &mut u64) -> Option<Back> {
+        let mut at = self.0.len();
+        while at > 0 {
+            at -= 1;
+            if now - self.0[at].0 < REST {
+                continue;
+            }
+            let (_, back) = self.0.remove(at);
+            if back.clean() {
+                return Some(back);
+            }
+            *stale += 1;
+        }
+        None
+    }
+
+    /// Closes what the node would close soon, and what it has closed.
+    pub fn sweep(&mut self, now: f64, idle: f64) {
+        self.0.retain(|(since, back)| now - since < IDLE_PART * idle && back.clean());
+    }
+
+    fn oldest(&self) -> Option<f64> {
+        self.0.first().map(|(since, _)| *since)
+    }
+}
+
+/// Closes the connection that is idle for longest, at whatever node.
+fn make_room(nodes: &mut std::collections::BTreeMap<quaypath::types::NodeId, Node>) -> bool {
+    let oldest = nodes.values_mut().filter(|node| node.pool.oldest().is_some());
+    let oldest = oldest.min_by(|one, other| one.pool.oldest().partial_cmp(&other.pool.oldest()).unwrap());
+    oldest.map(|node| node.pool.0.remove(0)).is_some()
+}
+
+/// An answer as it comes in.
+struct Incoming {
+    decoder: ResponseDecoder,
+    head: Option<ResponseHead>,
+    body: Vec<u8>,
+    whole: bool,
+}
+
+impl Incoming {
+    /// Takes what has come; true once the answer is whole.
+    fn take(&mut self, bytes: &[u8]) -> Result<bool, quaypath_http::Refused> {
+        self.decoder.feed(bytes);
+        while let Some(part) = self.decoder.poll()? {
+            match part {
+                Part::Head(head) => self.head = Some(head),
+                Part::Body(more) => self.body.extend_from_slice(&more),
+                Part::End => self.whole = true,
+            }
+        }
+        Ok(self.whole)
+    }
+
+    /// Whether the connection can be used once more.
+    fn reusable(&self) -> bool {
+        self.whole && self.decoder.behind() == 0 && self.head.as_ref().is_some_and(|head| !head.close)
+    }
+}
+
+type Weakly = Weak<RefCell<Instance>>;
+
+/// A connection for a shot: one of the pool, or a fresh one within the connect time-out.
+async fn connection(instance: &Weakly, shot: &Shot) -> Option<Back> {
+    let (fresh, wait, all) = {
+        let this = instance.upgrade()?;
+        let mut this = this.borrow_mut();
+        let this = &mut *this;
+        let now = this.clock_now();
+        let node = this.nodes.get_mut(&shot.node)?;
+        if let Some(back) = node.pool.get(now, &mut this.counts.stale) {
+            return Some(back);
+        }
+        let address = node.address;
+        if this.backs.get() >= this.most_backs && !make_room(&mut this.nodes) {
+            return None;
+        }
+        this.counts.connects += 1;
+        (Async::<TcpStream>::connect(address), this.config.waits.connect, this.backs.clone())
+    };
+    let stream = within(wait, fresh).await;
+    let this = instance.upgrade()?;
+    let mut this = this.borrow_mut();
+    match stream {
+        Ok(stream) => {
+            let _ = stream.get_ref().set_nodelay(true);
+            Some(Back::new(stream, all))
+        }
+        Err(error) => {
+            this.counts.connects_failed += 1;
+            tracing::debug!(node = %shot.node.0, %error, "no connection");
+            None
+        }
+    }
+}
+
+/// Writes the request, in one piece where the kernel takes it.
+async fn write(back: &Back, shot: &Shot, bytes: &[u8]) -> io::Result<()> {
+    let mut sent = 0;
+    while sent < bytes.len() {
+        match back.stream.get_ref().write(&bytes[sent..]) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(count) => {
+                sent += count;
+                if shot.progress() < Progress::Leaving {
+                    shot.to(Progress::Leaving);
+                }
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => back.stream.writable().await?,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    shot.to(Progress::Out);
+    Ok(())
+}
+
+/// Carries a shot to its end, whatever that is.
+async fn fly(
+    instance: &Weakly, shot: &Shot, message: &Message, used: &mut Option<Back>, incoming: &mut Incoming,
+) -> Ended {
+    let Some(back) = connection(instance, shot).await else { return Ended::Lost };
+    let back = used.insert(back);
+    let bytes = {
+        let Some(this) = instance.upgrade() else { return Ended::Lost };
+        let mut this = this.borrow_mut();
+        this.begin_turn();
+        // The node may have been listed as draining, or as gone, while its connection came up.
+        if this.shut(&shot.node) {
+            return Ended::Lost;
+        }
+        shot.to(Progress::Queued);
+        decode::shot(&message.head, &message.body, shot.stop_at - this.now)
+    };
+    if write(back, shot, &bytes).await.is_err() {
+        return Ended::Lost;
+    }
+    drop(bytes);
+    loop {
+        match read_some(&back.stream, |bytes| incoming.take(bytes)).await {
+            Ok(Came::Bytes(Ok(false))) => {}
+            Ok(Came::Bytes(Ok(true))) => return answered(incoming),
+            Ok(Came::Bytes(Err(_))) => return Ended::Spoilt,
+            Ok(Came::End) | Err(_) => return Ended::Lost,
+        }
+    }
+}
+
+fn answered(incoming: &Incoming) -> Ended {
+    let Some(head) = &incoming.head else { return Ended::Spoilt };
+    Ended::Answered(head.status, head.headers.one("x-not-processed") == Some("1"))
+}
+
+/// What has come and was not read yet when the time was up: a standstill of ours is not the node's.
+fn last_look(back: &Back, incoming: &mut Incoming) -> Option<Ended> {
+    let mut buffer = vec![0; MOST_BODY];
+    loop {
+        let count = back.stream.get_ref().read(&mut buffer).ok().filter(|count| *count > 0)?;
+        match incoming.take(&buffer[..count]) {
+            Ok(true) => return Some(answered(incoming)),
+            Ok(false) => {}
+            Err(_) => return None,
+        }
+    }
+}
+
+/// The task of one shot.
+pub fn shoot(instance: Weakly, shot: Rc<Shot>, message: Rc<Message>) -> impl Future<Output = ()> {
+    async move {
+        let node_out = |change: isize| {
+            let Some(this) = instance.upgrade() else { return };
+            let mut this = this.borrow_mut();
+            let node = this.nodes.get_mut(&shot.node);
+            node.into_iter().for_each(|node| node.out = node.out.saturating_add_signed(change));
+        };
+        node_out(1);
+        let decoder = ResponseDecoder::new(MOST_BODY);
+        let mut incoming = Incoming { decoder, head: None, body: Vec::new(), whole: false };
+        let mut used = None;
+        let mut ended = fly(&instance, &shot, &message, &mut used, &mut incoming).or(shot.ended()).await;
+        if ended == Ended::TimeUp && shot.progress() == Progress::Out {
+            let looked = used.as_ref().and_then(|back| last_look(back, &mut incoming));
+            ended = looked.unwrap_or(ended);
+        }
+        let Some(this) = instance.upgrade() else { return };
+        // Closed, or back in the pool, before the core may send again.
+        let back = used.take().filter(|_| matches!(ended, Ended::Answered(..)) && incoming.reusable());
+        if let Some(back) = back {
+            let mut this = this.borrow_mut();
+            let (now, shut) = (this.clock_now(), this.shut(&shot.node));
+            if let Some(node) = this.nodes.get_mut(&shot.node).filter(|_| !shut) {
+                node.pool.put(now, back);
+            }
+        }
+        node_out(-1);
+        let (told, answer) = match incoming.head.take().filter(|_| incoming.whole) {
+            Some(head) => {
+                let told = decode::told(&head.headers, &this.borrow().config.waits.load);
+                let kind = head.headers.one("content-type").map(String::from);
+                (told, Some(Answer::Settled(kind, std::mem::take(&mut incoming.body))))
+            }
+            None => (Told::default(), None),
+        };
+        turn(&this, |this| this.returned(&shot, ended, told, answer));
+    }
+}
--- /dev/null
+++ b/crates/platform/src/front.rs
@@ -0,0 +1,331 @@
+//! The way in: one task for each client connection, one request at a time.
+
+use std::cell::RefCell;
+use std::future::pending;
+use std::io;
+use std::net::{Shutdown, TcpStream};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::future::yield_now;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use quaypath_http::{error, response, Request, RequestDecoder, MOST_HEAD};
+use quaypath_initiator::net::{turn, within, Notify, Turns};
+
+use crate::instance::{Held, Instance};
+use crate::socket::{read_some, Read};
+
+/// A whole request is wanted within so many seconds of the connection's opening, or of its own first byte.
+const PATIENCE: f64 = 2.5;
+/// An idle connection that was used before is closed after this, seconds.
+pub const IDLE: f64 = 15.0;
+/// How long a peer may take to read an answer, seconds.
+const WRITE: f64 = 5.0;
+/// What is still coming in when an error is written is read for so long, and so much of it, before the close: the
+/// reset that unread bytes bring would eat the error.
+const LINGER: f64 = 1.0;
+const LINGER_BYTES: usize = 1 << 20;
+
+/// How a client connection stands. Every change goes through [`Front::to`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Opened, and no whole request yet.
+    Fresh,
+    /// Between two requests.
+    Idle,
+    /// Half a request.
+    Reading,
+    /// A transaction is open.
+    Busy,
+    /// To be closed, unless a request has come meanwhile.
+    Closing,
+}
+
+pub struct Front {
+    pub standing: Standing,
+    pub since: f64,
+    pub kick: Rc<Notify>,
+}
+
+impl Front {
+    pub fn to(&mut self, next: Standing, now: f64) {
+        (self.standing, self.since) = (next, now);
+        if next == Standing::Closing {
+            self.kick.tell();
+        }
+    }
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// What the node sent: kind and body.
+    Settled(Option<String>, Vec<u8>),
+    /// Nothing came of it, and it may be tried again after so many seconds.
+    Declined(f64),
+    /// No promise.
+    Scrapped,
+}
+
+impl Answer {
+    fn encode(&self, close: bool) -> Vec<u8> {
+        match self {
+            Answer::Settled(Some(kind), body) => response(200, &[("Content-Type", kind)], body, close),
+            Answer::Settled(None, body) => response(200, &[], body, close),
+            Answer::Declined(come_back) if *come_back > 0.0 => {
+                let wait = format!("{:.3}", (come_back * 1e3).ceil() / 1e3);
+                response(503, &[("Retry-After", &wait)], b"declined\n", close)
+            }
+            Answer::Declined(_) => response(503, &[], b"declined\n", close),
+            Answer::Scrapped => response(500, &[], b"scrapped\n", close),
+        }
+    }
+}
+
+/// Where a transaction's final answer is left for its client's task.
+#[derive(Default)]
+pub struct Reply {
+    answer: RefCell<Option<Answer>>,
+    told: Notify,
+}
+
+impl Reply {
+    pub fn give(&self, answer: Answer) {
+        *self.answer.borrow_mut() = Some(answer);
+        self.told.tell();
+    }
+
+    async fn wait(&self) -> Answer {
+        loop {
+            if let Some(answer) = self.answer.borrow_mut().take() {
+                return answer;
+            }
+            self.told.wait().await;
+        }
+    }
+}
+
+type Weakly = Weak<RefCell<Instance>>;
+
+/// Serves one client connection until it ends.
+pub async fn serve(instance: Weakly, number: u64, kick: Rc<Notify>, stream: Rc<Async<TcpStream>>) {
+    let mut client =
+        Client { instance, number, kick, stream, decoder: RequestDecoder::default(), arrived: 0.0 };
+    let _ = client.run().await;
+    if let Some(this) = client.instance.upgrade() {
+        this.borrow_mut().fronts.remove(&number);
+    }
+}
+
+struct Client {
+    instance: Weakly,
+    number: u64,
+    kick: Rc<Notify>,
+    stream: Rc<Async<TcpStream>>,
+    decoder: RequestDecoder,
+    /// When bytes came last.
+    arrived: f64,
+}
+
+/// What a wait for more of a request ended with.
+enum Went {
+    More,
+    End,
+    Kicked,
+    Late,
+}
+
+impl Client {
+    /// Notes how the connection stands.
+    fn stands(&self, standing: Standing) -> io::Result<f64> {
+        let this = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+        let mut this = this.borrow_mut();
+        let now = this.clock_now();
+        if let Some(front) = this.fronts.get_mut(&self.number) {
+            let known = front.standing;
+            if known != standing && !(known == Standing::Fresh && standing == Standing::Idle) {
+                front.to(standing, now);
+            }
+        }
+        Ok(now)
+    }
+
+    async fn run(&mut self) -> io::Result<()> {
+        loop {
+            let Some((request, held)) = self.request().await? else { return Ok(()) };
+            let close = request.close;
+            let target = request.target.split('?').next().unwrap_or("");
+            if request.method == "GET" && target == "/up" {
+                self.write(&response(200, &[], b"up\n", close)).await?;
+                self.stands(Standing::Busy)?;
+            } else if !self.transaction(request, held).await? {
+                return Ok(());
+            }
+            if close {
+                return self.end().await;
+            }
+            // One that never stops must not keep the others from their turns.
+            yield_now().await;
+        }
+    }
+
+    /// The next whole request with the room for its body; none where the connection has been closed.
+    async fn request(&mut self) -> io::Result<Option<(Request, Held)>> {
+        let opened = self.stands(Standing::Idle)?;
+        let first = self.arrived == 0.0;
+        let mut until = first.then_some(opened + PATIENCE);
+        let mut held: Option<Held> = None;
+        let mut told = false;
+        loop {
+            match self.decoder.poll() {
+                Ok(Some(request)) => {
+                    let Some(held) = held.or_else(|| self.hold(request.body.len())) else {
+                        self.refuse(503, "no room for a body").await?;
+                        return Ok(None);
+                    };
+                    return Ok(Some((request, held)));
+                }
+                Ok(None) => {}
+                Err(refused) => {
+                    self.refuse(refused.status, refused.why).await?;
+                    return Ok(None);
+                }
+            }
+            let announced = self.decoder.announced();
+            if announced > 0 && held.is_none() {
+                held = self.hold(announced);
+                if held.is_none() {
+                    self.refuse(503, "no room for a body").await?;
+                    return Ok(None);
+                }
+            }
+            if self.decoder.expects() && !told {
+                told = true;
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            }
+            let now = if self.decoder.unfinished() { self.stands(Standing::Reading)? } else { opened };
+            if self.decoder.unfinished() {
+                until.get_or_insert(now + PATIENCE);
+            }
+            match self.more(until).await? {
+                Went::More => {}
+                Went::End => return Ok(None),
+                Went::Late if self.decoder.unfinished() => {
+                    self.refuse(408, "no whole request in time").await?;
+                    return Ok(None);
+                }
+                Went::Late => return Ok(None),
+                // Asked to make room, or at a stop: unless something has just come.
+                Went::Kicked if !self.decoder.unfinished() => return Ok(None),
+                Went::Kicked => {}
+            }
+        }
+    }
+
+    fn hold(&self, bytes: usize) -> Option<Held> {
+        let this = self.instance.upgrade()?;
+        let held = this.borrow_mut().hold(bytes);
+        held
+    }
+
+    /// Waits for more bytes, a kick, or the end of patience.
+    async fn more(&mut self, until: Option<f64>) -> io::Result<Went> {
+        let now = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?.borrow().clock_now();
+        let decoder = &mut self.decoder;
+        let read = async {
+            match read_some(&self.stream, |bytes| decoder.feed(bytes)).await? {
+                Read::Bytes(()) => Ok(Went::More),
+                Read::End => Ok(Went::End),
+            }
+        };
+        let kicked = async {
+            self.kick.wait().await;
+            Ok(Went::Kicked)
+        };
+        let late = async {
+            match until {
+                Some(until) => Timer::after(Duration::from_secs_f64((until - now).max(0.0))).await,
+                None => pending().await,
+            };
+            Ok(Went::Late)
+        };
+        let went: io::Result<Went> = read.or(kicked).or(late).await;
+        if matches!(went, Ok(Went::More)) {
+            self.arrived = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?.borrow().clock_now();
+        }
+        went
+    }
+
+    /// One transaction from its request to its final answer; false where the connection has been closed.
+    async fn transaction(&mut self, request: Request, held: Held) -> io::Result<bool> {
+        let this = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+        self.stands(Standing::Busy)?;
+        let wants_close = request.close;
+        let taken = turn(&this, |this| this.take(request, held, self.arrived));
+        let (id, reply) = match taken {
+            Ok(taken) => taken,
+            Err((status, why)) => {
+                drop(this);
+                self.refuse(status, why).await?;
+                return Ok(false);
+            }
+        };
+        drop(this);
+        let (decoder, stream) = (&mut self.decoder, self.stream.clone());
+        let gone = async {
+            // What comes meanwhile is the next request; past a head's length it waits in the kernel.
+            while decoder.held() < MOST_HEAD {
+                match read_some(&stream, |bytes| decoder.feed(bytes)).await {
+                    Ok(Read::Bytes(())) => {}
+                    Ok(Read::End) | Err(_) => return None,
+                }
+            }
+            pending().await
+        };
+        let answer = async { Some(reply.wait().await) }.or(gone).await;
+        let this = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+        let Some(answer) = answer else {
+            turn(&this, |this| this.lapsed(id));
+            return Ok(false);
+        };
+        let stopping = this.borrow().stopping;
+        drop(this);
+        self.write(&answer.encode(wants_close || stopping)).await?;
+        if stopping {
+            self.end().await?;
+        }
+        Ok(!stopping)
+    }
+
+    async fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut stream = &*self.stream;
+        within(WRITE, async { stream.write_all(bytes).await }).await
+    }
+
+    /// An error for what cannot be read or is not fit, and the end of the connection.
+    async fn refuse(&self, status: u16, why: &str) -> io::Result<()> {
+        if let Some(this) = self.instance.upgrade() {
+            this.borrow_mut().counts.unfit += 1;
+        }
+        self.write(&error(status, why)).await?;
+        self.end().await
+    }
+
+    /// Says that no more is sent, and takes what is still coming for a while.
+    async fn end(&self) -> io::Result<()> {
+        self.stream.get_ref().shutdown(Shutdown::Write)?;
+        let mut left = LINGER_BYTES;
+        let rest = async {
+            while left > 0 {
+                match read_some(&self.stream, <[u8]>::len).await? {
+                    Read::Bytes(count) => left = left.saturating_sub(count),
+                    Read::End => break,
+                }
+                yield_now().await;
+            }
+            Ok(())
+        };
+        within(LINGER, rest).await
+    }
+}
--- /dev/null
+++ b/crates/platform/src/instance.rs
@@ -0,0 +1,663 @@
+//! One initiator's state outside the core: open transactions, connections, nodes, timers. What happens on the
+//! sockets becomes a call of the core here, and what the core asks for is carried out here; nothing is decided.
+//!
+//! Bounds, and what happens at them: client connections (the longest idle is closed, then the new one), bytes of
+//! bodies held (turned away before the core), connections to nodes (an idle one is closed, then the shot ends as
+//! one that could not connect), ids remembered (the oldest is let go).
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+
+use async_executor::LocalExecutor;
+use nanorand::{Rng, WyRand};
+use quaypath::types::*;
+use quaypath_http::Request;
+use quaypath_initiator::core::{self, Action, Actions, Core};
+use quaypath_initiator::list::Call;
+use quaypath_initiator::net::{Notify, Turns};
+use quaypath_initiator::outcome::Progress;
+use quaypath_initiator::wheel::Wheel;
+use quaypath_record::Clock;
+use tracing::{debug, info, warn};
+
+use crate::back::{self, Pool};
+use crate::config::Config;
+use crate::decode::{asked, onward, Told};
+use crate::discovery::{Listing, Status};
+use crate::front::{Answer, Front, Reply, Standing};
+use crate::ids::Ids;
+use crate::outcome::{outcome, Ended};
+
+/// How often the loop shows that it gets its turns, and how late that may be before it counts as a stall.
+const BEAT: f64 = 0.02;
+const STALL: f64 = 0.06;
+/// How often idle connections are looked over, seconds.
+const SWEEP: f64 = 0.25;
+
+/// Shares of the descriptors: clients, nodes; the rest is for discovery, a listener, signals and a spare.
+const CLIENTS: f64 = 0.45;
+const NODES: f64 = 0.36;
+/// Share of the memory that bodies of requests may take together, and that a line of discovery may.
+const BODIES: f64 = 0.25;
+
+/// What an instance counted since its start.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Counts {
+    pub taken: u64,
+    pub settled: u64,
+    pub declined: u64,
+    pub scrapped: u64,
+    pub lapsed: u64,
+    /// Requests refused as unreadable or unfit, before the core.
+    pub unfit: u64,
+    pub accepted: u64,
+    /// Client connections closed to make room.
+    pub evicted: u64,
+    pub shots: u64,
+    pub further: u64,
+    pub connects: u64,
+    pub connects_failed: u64,
+    /// Idle connections that were found ended or with bytes that nobody asked for.
+    pub stale: u64,
+    /// Shots by outcome.
+    pub outcomes: BTreeMap<&'static str, u64>,
+    /// Calls to discovery that failed or fell silent.
+    pub discovery_lost: u64,
+    pub stalls: u64,
+    /// The latest beat since the last report, seconds behind its time.
+    pub lag: f64,
+    pub open: usize,
+    pub clients: usize,
+    pub node_connections: usize,
+    pub volumes: usize,
+    pub keys: usize,
+    pub descriptors: usize,
+    pub resident_kb: usize,
+}
+
+/// What happens to the core, in order.
+enum Happened {
+    List(ListScope, Vec<Listed>),
+    Taken(u64),
+    Back(u64, u32, Ended, Told),
+    Lapsed(u64),
+    Rang(u64),
+}
+
+enum Timer {
+    Core(u64),
+    /// The time of a shot is up.
+    Stop(u64, u32),
+    Beat,
+    Sweep,
+}
+
+/// A shot, shared with the task that carries it out.
+pub struct Shot {
+    pub id: u64,
+    pub number: u32,
+    pub node: NodeId,
+    pub stop_at: f64,
+    pub sent_at: f64,
+    progress: Cell<Progress>,
+    ended: Cell<Option<Ended>>,
+    told: Notify,
+}
+
+impl Shot {
+    pub fn progress(&self) -> Progress {
+        self.progress.get()
+    }
+
+    pub fn to(&self, next: Progress) {
+        let mut progress = self.progress.get();
+        progress.to(next);
+        self.progress.set(progress);
+    }
+
+    fn end(&self, ended: Ended) {
+        if self.ended.get().is_none() {
+            self.ended.set(Some(ended));
+            self.told.tell();
+        }
+    }
+
+    /// Waits until the shot is ended from this side.
+    pub async fn ended(&self) -> Ended {
+        loop {
+            if let Some(ended) = self.ended.get() {
+                return ended;
+            }
+            self.told.wait().await;
+        }
+    }
+}
+
+/// What a transaction sends, the same with every shot.
+pub struct Message {
+    pub head: Vec<u8>,
+    pub body: Vec<u8>,
+    _held: Held,
+}
+
+struct Open {
+    /// Its client's connection and where the final answer goes, until that is given.
+    client: Option<Rc<Reply>>,
+    band: usize,
+    plan: usize,
+    volume: VolumeId,
+    extent: ExtentId,
+    block: Option<i64>,
+    initiators: f64,
+    units: f64,
+    outer: f64,
+    message: Rc<Message>,
+    shots: u32,
+    shot: Option<Rc<Shot>>,
+}
+
+/// Bytes of bodies that are counted while this is kept.
+pub struct Held(Rc<Cell<usize>>, usize);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - self.1);
+    }
+}
+
+pub struct Node {
+    pub address: SocketAddr,
+    pub pool: Pool,
+    /// Since when we know that it drains.
+    shut_since: Option<f64>,
+    started: f64,
+    /// Shots out there by the sockets.
+    pub out: usize,
+}
+
+pub struct Instance {
+    pub config: Rc<Config>,
+    core: Box<dyn Core>,
+    actions: Actions,
+    events: VecDeque<Happened>,
+    clock: Clock,
+    pub now: f64,
+    beat_at: f64,
+    timers: Wheel<Timer>,
+    wake: Rc<Notify>,
+    open: BTreeMap<u64, Open>,
+    next_id: u64,
+    ids: Ids,
+    pub fronts: BTreeMap<u64, Front>,
+    next_front: u64,
+    pub most_fronts: usize,
+    pub nodes: BTreeMap<NodeId, Node>,
+    /// Connections to nodes, idle ones included.
+    pub backs: Rc<Cell<usize>>,
+    pub most_backs: usize,
+    held: Rc<Cell<usize>>,
+    most_held: usize,
+    /// The list's version, and whose word it is: with a new discovery address comes a new number.
+    pub index: u64,
+    pub source: u64,
+    pub asked: Rc<Notify>,
+    pub chance: WyRand,
+    pub stopping: bool,
+    pub counts: Counts,
+    executor: Weak<LocalExecutor<'static>>,
+    me: Weak<RefCell<Instance>>,
+}
+
+impl Turns for Instance {
+    fn begin_turn(&mut self) {
+        self.now = self.clock.now().max(self.now);
+    }
+
+    fn finish_turn(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            self.feed(event);
+            while let Some(action) = self.actions.0.pop_front() {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn clock_now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    fn next_timer(&self) -> Option<f64> {
+        self.timers.next_at()
+    }
+
+    fn wake(&self) -> Rc<Notify> {
+        self.wake.clone()
+    }
+
+    fn ring(&mut self) {
+        let mut due = Vec::new();
+        self.timers.ring(self.now, &mut due);
+        for timer in due {
+            match timer {
+                Timer::Core(tag) => self.events.push_back(Happened::Rang(tag)),
+                Timer::Stop(id, number) => self.end_shot(id, number, Ended::TimeUp),
+                Timer::Beat => {
+                    let late = self.now - self.beat_at - BEAT;
+                    self.counts.stalls += u64::from(late > STALL);
+                    self.counts.lag = self.counts.lag.max(late);
+                    self.beat_at = self.now;
+                    self.timers.set(self.now + BEAT, Timer::Beat);
+                }
+                Timer::Sweep => {
+                    self.sweep();
+                    self.timers.set(self.now + SWEEP, Timer::Sweep);
+                }
+            }
+        }
+    }
+}
+
+impl Instance {
+    pub fn start(config: Rc<Config>, executor: &Rc<LocalExecutor<'static>>) -> Rc<RefCell<Instance>> {
+        let clock = Clock::default();
+        let now = clock.now();
+        let mut actions = Actions::default();
+        let core = core::of_settings(now, config.seed, config.core.clone(), &mut actions);
+        let share = |part: f64| (config.limits.sockets as f64 * part) as usize;
+        let memory = config.limits.memory_mb * 1e6;
+        // An answer under way holds a body and a head at most.
+        let most_backs = share(NODES).min((memory * BODIES / 1e5) as usize).max(8);
+        let instance = Rc::new(RefCell::new(Instance {
+            core,
+            actions,
+            events: VecDeque::new(),
+            clock,
+            now,
+            beat_at: now,
+            timers: Wheel::new(now),
+            wake: Rc::default(),
+            open: BTreeMap::new(),
+            next_id: 1,
+            ids: Ids::default(),
+            fronts: BTreeMap::new(),
+            next_front: 1,
+            most_fronts: share(CLIENTS),
+            nodes: BTreeMap::new(),
+            backs: Rc::default(),
+            most_backs,
+            held: Rc::default(),
+            most_held: (memory * BODIES) as usize,
+            index: config.known.index,
+            source: 0,
+            asked: Rc::default(),
+            chance: WyRand::new_seed(config.seed ^ 0x9a7),
+            stopping: false,
+            counts: Counts::default(),
+            executor: Rc::downgrade(executor),
+            me: Weak::new(),
+            config: config.clone(),
+        }));
+        let mut this = instance.borrow_mut();
+        this.me = Rc::downgrade(&instance);
+        this.timers.set(now + BEAT, Timer::Beat);
+        this.timers.set(now + SWEEP, Timer::Sweep);
+        this.listed(&config.known, ListScope::Cached);
+        this.finish_turn();
+        info!(name = config.name, nodes = this.nodes.len(), "started with the list as it was known");
+        drop(this);
+        instance
+    }
+
+    fn feed(&mut self, event: Happened) {
+        let (now, out) = (self.now, &mut self.actions);
+        match event {
+            Happened::List(scope, entries) => self.core.list_known(now, scope, &entries, out),
+            Happened::Taken(id) => {
+                let Some(t) = self.open.get(&id) else { return };
+                self.core.taken(
+                    now,
+                    TransactionId(id),
+                    t.initiators,
+                    Some(PlanId(t.plan)),
+                    BandId(t.band),
+                    Some(t.extent.clone()),
+                    t.outer - now,
+                    t.units,
+                    t.volume.clone(),
+                    t.block.map(BlockId),
+                    out,
+                );
+            }
+            Happened::Back(id, number, ended, told) => {
+                let Some(t) = self.open.get_mut(&id) else { return };
+                let Some(shot) = t.shot.take_if(|shot| shot.number == number) else { return };
+                let outcome = outcome(ended, shot.progress());
+                *self.counts.outcomes.entry(name(outcome)).or_default() += 1;
+                let over = t.client.is_none();
+                let last = over || outcome == Outcome::Settled;
+                let (id, delay) = (TransactionId(id), now - shot.sent_at);
+                let node = &shot.node;
+                let report = &told.report;
+                self.core.returned(
+                    now,
+                    id,
+                    node,
+                    number,
+                    0.0,
+                    delay,
+                    last,
+                    outcome,
+                    told.others,
+                    report,
+                    out,
+                );
+                if over {
+                    self.open.remove(&id.0);
+                }
+            }
+            Happened::Lapsed(id) => self.core.lapsed(now, TransactionId(id), out),
+            Happened::Rang(tag) => self.core.rang(now, tag, out),
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send(id, stop_at, node) => self.send(id, stop_at, node),
+            Action::Cancel(id, number) => self.end_shot(id, number, Ended::CalledOff),
+            Action::Decline(id, come_back) => {
+                self.counts.declined += u64::from(self.answer(id, Answer::Declined(come_back)));
+            }
+            Action::Scrap(id) => self.counts.scrapped += u64::from(self.answer(id, Answer::Scrapped)),
+            Action::Timer(after, tag) => self.timers.set(self.now + after.max(0.0), Timer::Core(tag)),
+            // The watch is the driver's to keep up; where the core has to ask, it waits for this word.
+            Action::Call(Call::Watch { on: true } | Call::Fetch) => self.asked.tell(),
+            Action::Call(Call::Watch { on: false }) => {}
+            Action::Close(node) => {
+                self.nodes.get_mut(&node).into_iter().for_each(|node| node.pool.clear());
+            }
+            Action::Unused(what) => debug!(what, "asked for by the core, and not carried out here"),
+        }
+    }
+
+    // Transactions.
+
+    /// Takes a request whose last byte came at `arrived`, or gives the status that its sender is owed.
+    pub fn take(
+        &mut self, request: Request, held: Held, arrived: f64,
+    ) -> Result<(u64, Rc<Reply>), (u16, &'static str)> {
+        let asked = asked(&request, &self.config)?;
+        let keep = self.config.waits.longest() + 1.0;
+        if !self.ids.fresh(self.now, &asked.id, keep) {
+            return Err((409, "X-Request-ID is another request's"));
+        }
+        let id = self.next_id;
+        self.next_id += 1;
+        let reply = Rc::new(Reply::default());
+        let message = Rc::new(Message { head: onward(&request), body: request.body, _held: held });
+        self.open.insert(
+            id,
+            Open {
+                client: Some(reply.clone()),
+                band: asked.band,
+                plan: asked.plan,
+                volume: VolumeId(Arc::from(asked.volume)),
+                extent: ExtentId(Arc::from(asked.extent)),
+                block: asked.block,
+                initiators: asked.initiators,
+                units: asked.units,
+                outer: arrived + asked.budget,
+                message,
+                shots: 0,
+                shot: None,
+            },
+        );
+        self.counts.taken += 1;
+        self.events.push_back(Happened::Taken(id));
+        Ok((id, reply))
+    }
+
+    /// Its client has gone.
+    pub fn lapsed(&mut self, id: u64) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| open.client.is_some()) else { return };
+        open.client = None;
+        let out = open.shot.is_some();
+        self.counts.lapsed += 1;
+        self.events.push_back(Happened::Lapsed(id));
+        if !out {
+            self.open.remove(&id);
+        }
+    }
+
+    /// The final answer of a transaction; false where it has none to get any more.
+    fn answer(&mut self, id: u64, answer: Answer) -> bool {
+        let Some(open) = self.open.get_mut(&id) else { return false };
+        let Some(reply) = open.client.take() else { return false };
+        if open.shot.is_none() {
+            self.open.remove(&id);
+        }
+        reply.give(answer);
+        true
+    }
+
+    /// Room for a body of so many bytes, if there is any.
+    pub fn hold(&mut self, bytes: usize) -> Option<Held> {
+        let all = self.held.get() + bytes;
+        (all <= self.most_held).then(|| {
+            self.held.set(all);
+            Held(self.held.clone(), bytes)
+        })
+    }
+
+    pub fn nothing_open(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    // Shots.
+
+    fn send(&mut self, id: u64, stop_at: f64, node: NodeId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let stop_at = if stop_at > 0.0 { stop_at.min(open.outer) } else { open.outer };
+        let shot = Rc::new(Shot {
+            id,
+            number: open.shots,
+            node,
+            stop_at,
+            sent_at: self.now,
+            progress: Cell::new(Progress::Opening),
+            ended: Cell::new(None),
+            told: Notify::default(),
+        });
+        open.shots += 1;
+        self.counts.shots += 1;
+        self.counts.further += u64::from(shot.number > 0);
+        open.shot = Some(shot.clone());
+        self.timers.set(stop_at, Timer::Stop(id, shot.number));
+        let message = open.message.clone();
+        if let Some(executor) = self.executor.upgrade() {
+            executor.spawn(back::shoot(self.me.clone(), shot, message)).detach();
+        }
+    }
+
+    fn end_shot(&mut self, id: u64, number: u32, ended: Ended) {
+        let shot = self.open.get(&id).and_then(|open| open.shot.as_ref());
+        shot.filter(|shot| shot.number == number).into_iter().for_each(|shot| shot.end(ended));
+    }
+
+    /// A shot is over, and its connection closed or back in the pool.
+    pub fn returned(&mut self, shot: &Shot, ended: Ended, told: Told, answer: Option<Answer>) {
+        if outcome(ended, shot.progress()) == Outcome::Settled {
+            let settled = answer.is_some_and(|answer| self.answer_of(shot.id, answer));
+            self.counts.settled += u64::from(settled);
+        }
+        self.events.push_back(Happened::Back(shot.id, shot.number, ended, told));
+    }
+
+    /// As [`Instance::answer`], while the shot is still to be handed over.
+    fn answer_of(&mut self, id: u64, answer: Answer) -> bool {
+        let reply = self.open.get_mut(&id).and_then(|open| open.client.take());
+        reply.inspect(|reply| reply.give(answer)).is_some()
+    }
+
+    /// Whether nothing may leave for a node any more: it has drained for as long as the rule allows, with room
+    /// for what the kernel takes.
+    pub fn shut(&self, node: &NodeId) -> bool {
+        let since = self.nodes.get(node).map(|node| node.shut_since);
+        since.is_none_or(|since| {
+            since.is_some_and(|since| self.now - since > 0.8 * self.config.waits.drain_grace)
+        })
+    }
+
+    // Discovery.
+
+    /// News of a list; false where it is of before what is known.
+    pub fn news(&mut self, listing: &Listing) -> bool {
+        if !listing.snapshot && listing.index < self.index {
+            return false;
+        }
+        self.index = listing.index;
+        self.listed(listing, if listing.snapshot { ListScope::Whole } else { ListScope::Changes });
+        true
+    }
+
+    /// A call to discovery failed.
+    pub fn discovery_failed(&mut self) {
+        self.counts.discovery_lost += 1;
+        if self.config.core.must_ask {
+            self.events.push_back(Happened::List(ListScope::Failed, Vec::new()));
+        }
+    }
+
+    fn listed(&mut self, listing: &Listing, scope: ListScope) {
+        let mut known = Vec::new();
+        for endpoint in &listing.endpoints {
+            let Ok(address) = endpoint.address.parse::<SocketAddr>() else {
+                warn!(
+                    node = endpoint.name,
+                    address = endpoint.address,
+                    "not an address and a port; left out"
+                );
+                continue;
+            };
+            let name = NodeId(Arc::from(endpoint.name.as_str()));
+            let condition = match endpoint.status {
+                Status::InService => Condition::Ready,
+                Status::Terminating => Condition::Draining,
+                Status::Terminated => Condition::Gone,
+            };
+            // Both clocks count from 1970.
+            let started = endpoint.since_ms / 1e3;
+            match condition {
+                Condition::Gone => {
+                    self.nodes.remove(&name);
+                }
+                _ => {
+                    let fresh = || Node { address, pool: Pool::default(), shut_since: None, started, out: 0 };
+                    let node = self.nodes.entry(name.clone()).or_insert_with(fresh);
+                    if (node.address, node.started) != (address, started) {
+                        // Moved or started anew: what stands idle leads to what was there before.
+                        node.pool.clear();
+                        (node.address, node.started) = (address, started);
+                    }
+                    if condition == Condition::Ready {
+                        node.shut_since = None;
+                    } else {
+                        node.shut_since.get_or_insert(self.now);
+                        node.pool.clear();
+                    }
+                }
+            }
+            known.push((name, BlockId(endpoint.group), condition, started, endpoint.weight));
+        }
+        if scope != ListScope::Changes {
+            self.nodes.retain(|name, _| known.iter().any(|(known, ..)| known == name));
+        }
+        debug!(index = listing.index, ?scope, entries = known.len(), "list");
+        self.events.push_back(Happened::List(scope, known));
+    }
+
+    /// A wait between half and one and a half of this, seconds.
+    pub fn spread(&mut self, wait: f64) -> f64 {
+        wait * (0.5 + self.chance.generate::<f64>())
+    }
+
+    // Clients.
+
+    /// A new client connection, or nothing where there is no room.
+    pub fn opened(&mut self) -> Option<(u64, Rc<Notify>)> {
+        self.counts.accepted += 1;
+        if self.fronts.len() >= self.most_fronts && !self.evict() {
+            return None;
+        }
+        let (number, kick) = (self.next_front, Rc::<Notify>::default());
+        self.next_front += 1;
+        self.fronts.insert(number, Front { standing: Standing::Fresh, since: self.now, kick: kick.clone() });
+        Some((number, kick))
+    }
+
+    /// Makes room: what is silent since it was opened goes first, then what is idle for longest, then what has
+    /// just been opened. None with a transaction, nor with a request half read.
+    fn evict(&mut self) -> bool {
+        let quick = 0.2;
+        let order = |front: &Front| match front.standing {
+            Standing::Fresh if self.now - front.since > quick => Some(0),
+            Standing::Idle => Some(1),
+            Standing::Fresh => Some(2),
+            _ => None,
+        };
+        let ranked = self.fronts.iter().filter_map(|(at, front)| Some((order(front)?, front.since, *at)));
+        let best = ranked.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        let Some((_, _, at)) = best else { return false };
+        self.counts.evicted += 1;
+        self.fronts.get_mut(&at).into_iter().for_each(|front| front.to(Standing::Closing, self.now));
+        true
+    }
+
+    /// No more requests: idle connections are closed, others with their answer.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+        let now = self.now;
+        let idle = self.fronts.values_mut().filter(|front| matches!(front.standing, Standing::Idle));
+        idle.for_each(|front| front.to(Standing::Closing, now));
+    }
+
+    fn sweep(&mut self) {
+        let idle = self.config.waits.idle;
+        let now = self.now;
+        self.nodes.values_mut().for_each(|node| node.pool.sweep(now, idle));
+        for front in self.fronts.values_mut() {
+            if front.standing == Standing::Idle && now - front.since > crate::front::IDLE {
+                front.to(Standing::Closing, now);
+            }
+        }
+    }
+
+    /// The counts, with what is open now.
+    pub fn counted(&mut self) -> Counts {
+        (self.counts.open, self.counts.clients) = (self.open.len(), self.fronts.len());
+        self.counts.node_connections = self.backs.get();
+        (self.counts.volumes, self.counts.keys) = self.core.accounts();
+        self.counts.descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
+        let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+        let pages = pages.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok()).unwrap_or(0);
+        self.counts.resident_kb = pages * 4;
+        let counts = self.counts.clone();
+        self.counts.lag = 0.0;
+        counts
+    }
+}
+
+fn name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Settled => "settled",
+        Outcome::Failed => "failed",
+        Outcome::Full => "full",
+        Outcome::TimedOut => "timed_out",
+        Outcome::Unreachable => "unreachable",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Moot => "moot",
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,159 @@
+//! The platform's way in and out: clients and nodes over HTTP/1.1, discovery, the configuration.
+//!
+//! [`run`] is one initiator on one thread. What happens on the sockets becomes a call of the core in `instance`,
+//! through the one table of [`outcome`]; what the core asks for is carried out there too. Nothing is decided here.
+
+mod back;
+pub mod config;
+pub mod decode;
+mod discovery;
+mod front;
+mod ids;
+mod instance;
+pub mod outcome;
+mod socket;
+
+use std::cell::RefCell;
+use std::io;
+use std::net::TcpListener;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+use quaypath_initiator::net::{accepted, timers, turn};
+use socket2::{Domain, Protocol, Socket, Type};
+use tracing::{info, warn};
+
+pub use config::Config;
+pub use instance::Counts;
+
+use instance::Instance;
+
+/// Connections that the kernel holds for us until they are accepted.
+const BACKLOG: i32 = 1024;
+/// After SIGTERM new connections are taken for so long, seconds: the platform goes on opening some for 0.4 s.
+const LAST_CALL: f64 = 0.6;
+/// The kill comes no sooner than the longest deadline, 3 s at least, and this long after SIGTERM, seconds.
+const BEFORE_KILL: f64 = 0.6;
+const REPORT: Duration = Duration::from_secs(5);
+
+type Shared = Rc<RefCell<Instance>>;
+
+fn listen(config: &Config) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(config.listen), Type::STREAM, Some(Protocol::TCP))?;
+    // A restart comes back under the same address, with connections of before still closing.
+    socket.set_reuse_address(true)?;
+    socket.bind(&config.listen.into())?;
+    socket.listen(BACKLOG)?;
+    Async::new(TcpListener::from(socket))
+}
+
+/// Runs one initiator until SIGTERM, and gives its counts.
+pub fn run(config: Config) -> io::Result<Counts> {
+    let signals = Signals::new([Signal::Term, Signal::Hup])?;
+    let listener = listen(&config)?;
+    let executor = Rc::new(LocalExecutor::new());
+    let config = Rc::new(config);
+    let instance = Instance::start(config.clone(), &executor);
+    let weak = Rc::downgrade(&instance);
+    info!(address = %config.listen, discovery = %config.discovery, "listening");
+    executor.spawn(timers(weak.clone())).detach();
+    executor.spawn(discovery::follow(weak.clone(), config.discovery, 0)).detach();
+    executor.spawn(report(weak.clone())).detach();
+    let served = accept(weak, Rc::downgrade(&executor), listener);
+    let stopped = obey(instance.clone(), signals, executor.clone());
+    let done = async {
+        let accepting = executor.spawn(served);
+        stopped.await;
+        last_call(&instance, accepting).await;
+    };
+    async_io::block_on(executor.run(done));
+    let counts = instance.borrow_mut().counted();
+    Ok(counts)
+}
+
+async fn accept(
+    instance: Weak<RefCell<Instance>>, executor: Weak<LocalExecutor<'static>>, listener: Async<TcpListener>,
+) {
+    loop {
+        let (stream, _) = accepted(&listener).await;
+        let (Some(this), Some(executor)) = (instance.upgrade(), executor.upgrade()) else { return };
+        // Where all have a transaction open, the new one is closed: what it may have sent gets no answer.
+        let opened = turn(&this, Instance::opened);
+        if let Some((number, kick)) = opened {
+            executor.spawn(front::serve(instance.clone(), number, kick, stream)).detach();
+        }
+    }
+}
+
+async fn report(instance: Weak<RefCell<Instance>>) {
+    loop {
+        Timer::after(REPORT).await;
+        let Some(this) = instance.upgrade() else { return };
+        log(&this);
+    }
+}
+
+fn log(instance: &Shared) {
+    let mut this = instance.borrow_mut();
+    let counts = serde_json::to_string(&this.counted()).unwrap_or_default();
+    let nodes: Vec<String> = this
+        .nodes
+        .iter()
+        .map(|(name, node)| format!("{}={}+{}", name.0, node.out, node.pool.len()))
+        .collect();
+    info!(counts, nodes = nodes.join(" "), "counts");
+}
+
+/// Obeys signals; done at SIGTERM.
+async fn obey(instance: Shared, mut signals: Signals, executor: Rc<LocalExecutor<'static>>) {
+    let mut source = 0;
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => {
+                let path = instance.borrow().config.path.clone();
+                match Config::read(&path, |name| std::env::var(name).ok()) {
+                    Ok(config) => {
+                        source += 1;
+                        info!(discovery = %config.discovery, "configuration read anew");
+                        let weak = Rc::downgrade(&instance);
+                        // The address of before is heard until this one has told its whole list.
+                        executor.spawn(discovery::follow(weak, config.discovery, source)).detach();
+                    }
+                    Err(error) => warn!(%error, "the configuration cannot be read; the one of before stays"),
+                }
+            }
+            Ok(Signal::Term) => return,
+            Ok(_) => {}
+            Err(error) => warn!(%error, "a signal was lost"),
+        }
+    }
+}
+
+/// Serves on while new connections come, then answers what was taken.
+async fn last_call(instance: &Shared, accepting: async_executor::Task<()>) {
+    info!("stopping");
+    let longest = instance.borrow().config.waits.longest().max(3.0);
+    turn(instance, Instance::stop);
+    Timer::after(Duration::from_secs_f64(LAST_CALL)).await;
+    drop(accepting);
+    let answered = async {
+        loop {
+            turn(instance, Instance::stop);
+            let this = instance.borrow();
+            if this.nothing_open() && this.fronts.is_empty() {
+                return;
+            }
+            drop(this);
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    };
+    let killed = async {
+        Timer::after(Duration::from_secs_f64(longest + BEFORE_KILL - LAST_CALL)).await;
+    };
+    answered.or(killed).await;
+    log(instance);
+}
--- /dev/null
+++ b/crates/platform/src/outcome.rs
@@ -0,0 +1,77 @@
+//! One table from what happened to a shot on its socket to the core's `Outcome`.
+//!
+//! The line: a node begins a request when its last byte has arrived. So nothing can have run until the last byte
+//! was handed to the kernel, whatever ended the shot; from then on it may have, until an answer proves otherwise.
+//! (NVMe/TCP's line is the first byte: there a partly written buffer may hold whole commands.)
+
+use quaypath::types::Outcome;
+use quaypath_initiator::outcome::Progress;
+
+/// What ended a shot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// An answer with this status, and whether it says that the request was not processed.
+    Answered(u16, bool),
+    /// What came is no answer: its head cannot be read, or its body does not fit.
+    Spoilt,
+    /// Its time was up.
+    TimeUp,
+    /// The core called it off.
+    CalledOff,
+    /// The connection was refused, never came up, broke or ended; or the node may not be sent to any more.
+    Lost,
+}
+
+/// The table.
+pub fn outcome(ended: Ended, progress: Progress) -> Outcome {
+    let whole = progress == Progress::Out;
+    match ended {
+        Ended::Answered(200, _) if whole => Outcome::Settled,
+        // Turned away: queue full, draining, too many connections, or over already. By the page it never ran.
+        Ended::Answered(503 | 504, true) => Outcome::Full,
+        // Without that word, and any other status, it may have run. So may what was answered before its end: an
+        // answer to half a request is somebody else's.
+        Ended::Answered(..) => Outcome::Failed,
+        // The node has answered, so it has run the request, or most likely; of its pace this says nothing.
+        Ended::Spoilt => Outcome::Failed,
+        // Whole: the node may run it yet, or has and the answer is late.
+        Ended::TimeUp if whole => Outcome::TimedOut,
+        // No node has the whole request, and the connection is closed: as if it had not been sent.
+        Ended::TimeUp => Outcome::Moot,
+        // A closed connection does not take back what has arrived.
+        Ended::CalledOff if whole => Outcome::Cancelled,
+        Ended::CalledOff => Outcome::Moot,
+        // Written whole: the node may have run it and lost the answer with the connection.
+        Ended::Lost if whole => Outcome::Reset,
+        // Down, unreachable, out of connections, or gone before the last byte.
+        Ended::Lost => Outcome::Unreachable,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+    use Progress::*;
+
+    #[test_case(Ended::Answered(200, false), Out, Outcome::Settled; "settled")]
+    #[test_case(Ended::Answered(200, false), Leaving, Outcome::Failed; "an answer before the request's end")]
+    #[test_case(Ended::Answered(500, false), Out, Outcome::Failed; "error")]
+    #[test_case(Ended::Answered(500, true), Out, Outcome::Failed; "only 503 and 504 promise that nothing ran")]
+    #[test_case(Ended::Answered(503, true), Out, Outcome::Full; "turned away")]
+    #[test_case(Ended::Answered(504, true), Out, Outcome::Full; "turned away as over")]
+    #[test_case(Ended::Answered(503, false), Out, Outcome::Failed; "503 without the word")]
+    #[test_case(Ended::Answered(204, false), Out, Outcome::Failed; "a success that is not the page's")]
+    #[test_case(Ended::Spoilt, Out, Outcome::Failed; "spoilt")]
+    #[test_case(Ended::TimeUp, Opening, Outcome::Moot; "time up while connecting")]
+    #[test_case(Ended::TimeUp, Leaving, Outcome::Moot; "time up half way")]
+    #[test_case(Ended::TimeUp, Out, Outcome::TimedOut; "time up")]
+    #[test_case(Ended::CalledOff, Queued, Outcome::Moot; "called off unsent")]
+    #[test_case(Ended::CalledOff, Out, Outcome::Cancelled; "called off")]
+    #[test_case(Ended::Lost, Opening, Outcome::Unreachable; "refused or never up")]
+    #[test_case(Ended::Lost, Leaving, Outcome::Unreachable; "broken before the last byte")]
+    #[test_case(Ended::Lost, Out, Outcome::Reset; "broken after the last byte")]
+    fn table(ended: Ended, progress: Progress, expected: Outcome) {
+        assert_eq!(outcome(ended, progress), expected);
+    }
+}
--- a/crates/programs/src/bin/gateway.rs
+++ b/crates/programs/src/bin/gateway.rs
@@ -1,4 +1,4 @@
-//! `quaypath-gateway`: one initiator on sockets.
+//! `quaypath-gateway`: one initiator on sockets, over NVMe/TCP or in service on the platform.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -8,18 +8,22 @@
 
 use clap::Parser;
 use quaypath_initiator::{core, run, Options};
+use quaypath_platform::Config;
 use quaypath_programs::{exit, say, Logs};
 
-/// Takes transactions of clients over NVMe/TCP and schedules them over the storage nodes.
+/// Takes transactions of clients over NVMe/TCP, or the platform's HTTP, and schedules them over the storage nodes.
 #[derive(Parser)]
 #[command(
     version,
-    after_help = "Example:\n  quaypath-gateway --settings deploy/samples/rail.xml --number 0 --list /var/lib/quaypath/nodes.list"
+    after_help = "Example:\n  quaypath-gateway --settings deploy/samples/rail.xml --number 0 --list /var/lib/quaypath/nodes.list\n  BALANCER_CONFIG=/run/balancer/config.json quaypath-gateway --platform"
 )]
 struct Arguments {
+    /// Serve on the platform, by the configuration that BALANCER_CONFIG names
+    #[arg(long, conflicts_with_all = ["settings", "listen", "register", "number", "seed", "list", "careless"])]
+    platform: bool,
     /// Deployment, XML by quaypath.xsd
-    #[arg(long)]
-    settings: PathBuf,
+    #[arg(long, required_unless_present = "platform")]
+    settings: Option<PathBuf>,
     /// Address to listen on, in place of the settings'
     #[arg(long)]
     listen: Option<SocketAddr>,
@@ -33,8 +37,8 @@
     #[arg(long)]
     seed: Option<u64>,
     /// Where the last node list is kept
-    #[arg(long)]
-    list: PathBuf,
+    #[arg(long, required_unless_present = "platform")]
+    list: Option<PathBuf>,
     /// Stop when standard input ends, and print the counts on standard output
     #[arg(long)]
     until_stdin_closes: bool,
@@ -57,9 +61,23 @@
     }
 }
 
+/// In service on the platform.
+fn serve() -> Result<bool, String> {
+    let path = std::env::var_os("BALANCER_CONFIG")
+        .ok_or("BALANCER_CONFIG is not set: the path of a configuration")?;
+    let config =
+        Config::read(path.as_ref(), |name| std::env::var(name).ok()).map_err(|error| error.to_string())?;
+    let listen = config.listen;
+    quaypath_platform::run(config).map_err(|error| format!("listen on {listen}: {error}"))?;
+    Ok(true)
+}
+
 fn start(arguments: Arguments) -> Result<bool, String> {
-    let mut deployment =
-        quaypath_settings::deployment(&arguments.settings).map_err(|error| error.to_string())?;
+    let (settings, list) = match (arguments.settings, arguments.list) {
+        (Some(settings), Some(list)) if !arguments.platform => (settings, list),
+        _ => return serve(),
+    };
+    let mut deployment = quaypath_settings::deployment(&settings).map_err(|error| error.to_string())?;
     if f64::from(arguments.number) >= deployment.core.initiators {
         let most = deployment.core.initiators;
         return Err(format!("--number {}: the deployment's layout has {most} initiators", arguments.number));
@@ -78,7 +96,7 @@
         deployment: Rc::new(deployment),
         number: arguments.number,
         seed: arguments.seed.unwrap_or(nanos.map_or(1, |since| since.as_nanos() as u64)),
-        list: arguments.list,
+        list,
         core: if arguments.careless { core::careless } else { core::brain },
     };
     say!("listening {address}");
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the programs share: logs and exit codes.
 
 use std::fmt::Display;
+use std::io::IsTerminal;
 use std::process::ExitCode;
 
 use clap::{Args, ValueEnum};
@@ -30,7 +31,11 @@
             1 => LevelFilter::DEBUG,
             _ => LevelFilter::TRACE,
         };
-        let form = tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(level);
+        // No colours in a log that is kept in a file.
+        let form = tracing_subscriber::fmt()
+            .with_writer(std::io::stderr)
+            .with_ansi(std::io::stderr().is_terminal())
+            .with_max_level(level);
         match self.log {
             LogForm::Text => form.init(),
             LogForm::Json => form.json().flatten_event(true).init(),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 mod day;
 mod deployment;
 mod load;
+pub mod pairs;
 
 use std::path::{Path, PathBuf};
 
--- a/crates/wirehost/src/settings.rs
+++ b/crates/settings/src/pairs.rs
@@ -1,23 +1,71 @@
-//! From the `path=value` pairs of the first message to the core's settings, names included.
+//! From `path=value` pairs to the core's settings, names included: one decoder for the bench's first message and
+//! for the platform's configuration, whose nested JSON holds the same names and units.
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
 use quaypath::types::{Band, Plan, Repeat, Scope, Settings};
+use serde_json::Value;
 
-/// What stays on this side of the interface: the names that the wire uses for bands and plans.
-#[derive(Default)]
+/// What stays outside the core: the names that bands and plans have for others.
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     pub bands: Vec<String>,
     pub plans: Vec<String>,
 }
 
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+/// Settings by their path.
+#[derive(Clone, Debug, Default)]
+pub struct Pairs(BTreeMap<String, String>);
 
-impl Pairs<'_> {
-    fn optional<T: FromStr>(&self, path: &str) -> Result<Option<T>, String> {
-        match self.0.get(path) {
-            None | Some(&"-") | Some(&"") => Ok(None),
+impl Pairs {
+    /// From text with one space between pairs.
+    pub fn of_text(text: &str) -> Result<Self, String> {
+        let mut map = BTreeMap::new();
+        for pair in text.split(' ').filter(|pair| !pair.is_empty() && *pair != "-") {
+            let (path, value) = pair
+                .split_once('=')
+                .ok_or_else(|| format!("setting '{pair}': no '=' between path and value"))?;
+            map.insert(path.to_string(), value.to_string());
+        }
+        Ok(Pairs(map))
+    }
+
+    /// From nested JSON: names are joined by dots, lists of plain values by commas; a list of objects has its
+    /// length under `count`.
+    pub fn of_json(value: &Value) -> Self {
+        let mut pairs = Pairs::default();
+        pairs.flatten("", value);
+        pairs
+    }
+
+    fn flatten(&mut self, path: &str, value: &Value) {
+        let under = |leaf: &str| if path.is_empty() { leaf.to_string() } else { format!("{path}.{leaf}") };
+        match value {
+            Value::Object(fields) => {
+                fields.iter().for_each(|(name, value)| self.flatten(&under(name), value));
+            }
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                self.0.insert(under("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(at, item)| self.flatten(&under(&at.to_string()), item));
+            }
+            Value::Array(items) => {
+                let items: Vec<String> = items.iter().map(plain).collect();
+                self.0.insert(path.to_string(), items.join(","));
+            }
+            _ => {
+                self.0.insert(path.to_string(), plain(value));
+            }
+        }
+    }
+
+    pub fn text(&self, path: &str) -> Option<&str> {
+        self.0.get(path).map(String::as_str)
+    }
+
+    pub fn optional<T: FromStr>(&self, path: &str) -> Result<Option<T>, String> {
+        match self.text(path) {
+            None | Some("-") | Some("") => Ok(None),
             Some(text) => match text.parse() {
                 Ok(value) => Ok(Some(value)),
                 Err(_) => Err(format!("setting {path}: cannot read '{text}'")),
@@ -25,11 +73,11 @@
         }
     }
 
-    fn needed<T: FromStr>(&self, path: &str) -> Result<T, String> {
+    pub fn needed<T: FromStr>(&self, path: &str) -> Result<T, String> {
         self.optional(path)?.ok_or_else(|| format!("setting {path} is missing"))
     }
 
-    fn number(&self, path: &str) -> Result<f64, String> {
+    pub fn number(&self, path: &str) -> Result<f64, String> {
         let value: f64 = self.optional(path)?.unwrap_or(0.0);
         if value.is_finite() {
             Ok(value)
@@ -38,19 +86,22 @@
         }
     }
 
-    fn flag(&self, path: &str) -> bool {
-        matches!(self.0.get(path), Some(&"true") | Some(&"1"))
+    pub fn flag(&self, path: &str) -> bool {
+        matches!(self.text(path), Some("true" | "1"))
     }
 }
 
-pub fn decode(text: &str) -> Result<(Settings, Names), String> {
-    let mut map = BTreeMap::new();
-    for pair in text.split(' ').filter(|pair| !pair.is_empty() && *pair != "-") {
-        let (path, value) =
-            pair.split_once('=').ok_or_else(|| format!("setting '{pair}': no '=' between path and value"))?;
-        map.insert(path, value);
+/// A JSON value without structure, as the wire would write it.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => String::new(),
+        other => other.to_string(),
     }
-    let pairs = Pairs(map);
+}
+
+/// The core's settings, and the names of bands and plans. An error names the path.
+pub fn core(pairs: &Pairs) -> Result<(Settings, Names), String> {
     let mut names = Names::default();
     let mut bands = Vec::new();
     for at in 0..pairs.needed::<usize>("Grades.count")? {
@@ -100,7 +151,7 @@
         most_shots: pairs.optional("Ceilings.MaxAttempts")?.unwrap_or(1),
         advises_return: pairs.flag("Ceilings.RetryAfter"),
         longest_return: pairs.number("Ceilings.MaxRetryAfter")?,
-        must_ask: pairs.0.get("RegistryMode") == Some(&"on_request"),
+        must_ask: pairs.text("RegistryMode") == Some("on_request"),
         start_capacity: pairs.number("Rules.StartCapacity")?,
         cold_for: pairs.number("Rules.Cold")?,
         fall_multiple: pairs.number("Rules.FallMultiple")?,
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,6 +1,5 @@
 //! `quaypath-wirehost`: hosts decision cores, one for each initiator, on the text wire.
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufReader, BufWriter};
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -13,7 +13,7 @@
     VolumeId,
 };
 
-use crate::settings::{self, Names};
+use quaypath_settings::pairs::{self, Names, Pairs};
 
 /// The lines that one instance answers with; `BY` goes out before its first one.
 struct Reply<'a> {
@@ -291,7 +291,8 @@
     match fields.name {
         "START" => {
             let seed = fields.needed(0, "Seed")?;
-            let (settings, names) = settings::decode(&fields.values[1..].join(" "))
+            let (settings, names) = Pairs::of_text(&fields.values[1..].join(" "))
+                .and_then(|pairs| pairs::core(&pairs))
                 .map_err(|what| format!("START: field Params: {what}"))?;
             instances
                 .insert(name.to_string(), Instance { brain: Brain::start(now, seed, settings, out), names });
