--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -59,7 +59,7 @@
     let config = Rc::new(config);
     let instance = Instance::start(config.clone(), &executor);
     let weak = Rc::downgrade(&instance);
-    info!(address = %config.listen, discovery = %config.discovery, "listening");
+    info!(address = %listener.get_ref().local_addr()?, discovery = %config.discovery, "listening");
     executor.spawn(timers(weak.clone())).detach();
     executor.spawn(discovery::follow(weak.clone(), config.discovery, 0)).detach();
     executor.spawn(report(weak.clone())).detach();
--- /dev/null
+++ b/crates/programs/tests/platform.rs
@@ -0,0 +1,563 @@
+//! The gateway on the platform, driven from outside: the real program, with nodes, discovery and clients of our own
+//! on loopback. Each test names the failure that it guards against.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use test_case::test_case;
+
+const SAMPLE: &str = include_str!("../../platform/tests/sample.json");
+/// Bound of every wait; nothing is proved by it but that something never came.
+const LONG: Duration = Duration::from_secs(20);
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !done() {
+        assert!(began.elapsed() < LONG, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Reads a head, and a body of the length that it says; none at the connection's end.
+fn message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+/// What a node does with the request of this number, from 0; false to close the connection.
+type Script = fn(usize, &mut TcpStream, &str) -> bool;
+
+fn answer(stream: &mut TcpStream, status: &str, body: &str) -> bool {
+    let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(text.as_bytes()).is_ok()
+}
+
+/// Answers with the id of the request, so that one answer is told from another.
+fn id_of(head: &str) -> &str {
+    head.lines().find_map(|line| line.strip_prefix("X-Request-ID: ")).unwrap_or("none")
+}
+
+#[derive(Clone)]
+struct Node {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+    connections: Arc<AtomicUsize>,
+    ended: Arc<AtomicUsize>,
+}
+
+impl Node {
+    fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let node = Node { address, seen: Arc::default(), connections: Arc::default(), ended: Arc::default() };
+        let this = node.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (mut stream, this) = (stream.expect("a connection"), this.clone());
+                this.connections.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    while let Some((head, _)) = message(&mut stream) {
+                        let number = {
+                            let mut seen = this.seen.lock().expect("no panic");
+                            seen.push(head.clone());
+                            seen.len() - 1
+                        };
+                        if !script(number, &mut stream, &head) {
+                            break;
+                        }
+                    }
+                    this.ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        node
+    }
+
+    fn requests(&self) -> usize {
+        self.seen.lock().expect("no panic").len()
+    }
+}
+
+fn listing(index: u64, nodes: &[(&str, SocketAddr, &str)]) -> Value {
+    let endpoint = |(name, address, status): &(&str, SocketAddr, &str)| {
+        json!({"name": name, "address": address.to_string(), "zone": "a", "type": "m", "group": 3,
+               "status": status, "weight": 1.0, "since_ms": 0})
+    };
+    json!({"index": index, "snapshot": true, "endpoints": nodes.iter().map(endpoint).collect::<Vec<_>>()})
+}
+
+/// Discovery: the list as it is, on the call and on the watch.
+#[derive(Clone)]
+struct Discovery {
+    address: SocketAddr,
+    list: Arc<Mutex<Value>>,
+    shut: Arc<AtomicBool>,
+    /// Ends its watches after each line.
+    brief: Arc<AtomicBool>,
+}
+
+impl Discovery {
+    fn start(list: Value) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let this = Discovery {
+            address,
+            list: Arc::new(Mutex::new(list)),
+            shut: Arc::default(),
+            brief: Arc::default(),
+        };
+        let all = this.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (mut stream, this) = (stream.expect("a connection"), all.clone());
+                if this.shut.load(Ordering::SeqCst) {
+                    continue;
+                }
+                thread::spawn(move || this.serve(&mut stream));
+            }
+        });
+        this
+    }
+
+    fn serve(&self, stream: &mut TcpStream) -> Option<()> {
+        let (head, _) = message(stream)?;
+        let now = || self.list.lock().expect("no panic").clone();
+        if !head.contains("watch=1") {
+            answer(stream, "200 OK", &now().to_string());
+            return None;
+        }
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+        let mut told = Value::Null;
+        while !self.shut.load(Ordering::SeqCst) {
+            let list = now();
+            let line = if list == told { "\n".to_string() } else { format!("{list}\n") };
+            told = list;
+            // A line comes in two chunks.
+            let (one, other) = line.split_at(line.len() / 2);
+            for piece in [one, other].into_iter().filter(|piece| !piece.is_empty()) {
+                stream.write_all(format!("{:x}\r\n{piece}\r\n", piece.len()).as_bytes()).ok()?;
+            }
+            if self.brief.load(Ordering::SeqCst) {
+                return None;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        None
+    }
+
+    fn set(&self, list: Value) {
+        *self.list.lock().expect("no panic") = list;
+    }
+}
+
+/// The program under test; killed when dropped.
+struct Gateway {
+    child: Child,
+    address: SocketAddr,
+    config: PathBuf,
+}
+
+impl Gateway {
+    fn start(known: &Value, discovery: SocketAddr, change: impl FnOnce(&mut Value)) -> Self {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let config = std::env::temp_dir().join(format!("quaypath-platform-{}-{number}.json", std::process::id()));
+        let mut value: Value = serde_json::from_str(SAMPLE).expect("JSON");
+        (value["known"], value["discovery"]) = (known.clone(), json!(discovery.to_string()));
+        change(&mut value);
+        std::fs::write(&config, value.to_string()).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_quaypath-gateway"))
+            .arg("--platform")
+            .env("BALANCER_CONFIG", &config)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the gateway");
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let address = loop {
+            let line = log.next().expect("a line that says where it listens").expect("text");
+            if let Some((_, rest)) = line.split_once("listening address=") {
+                break rest.split(' ').next().and_then(|text| text.parse().ok()).expect("an address");
+            }
+        };
+        thread::spawn(move || log.for_each(drop));
+        Gateway { child, address, config }
+    }
+
+    /// With one node that holds block 3, known from the start.
+    fn with(node: &Node) -> (Self, Discovery) {
+        let list = listing(41, &[("s-1", node.address, "in_service")]);
+        let discovery = Discovery::start(list.clone());
+        (Gateway::start(&list, discovery.address, |_| {}), discovery)
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("it runs");
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("it listens");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        stream
+    }
+
+    fn ask(&self, class: &str, id: &str) -> (u16, String, String) {
+        exchange(&mut self.connect(), &put(class, id, "1000m"))
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn put(class: &str, id: &str, time: &str) -> String {
+    format!(
+        "PUT /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
+         X-Storage-Class: gold\r\nCookie: extent=7f3a9c21e0b4d655\r\nX-Timeout: {time}\r\nContent-Length: 4\r\n\
+         X-Extent: volume=00000003b4d60021,units=1,shard=3,hosts=2\r\n\r\nbody"
+    )
+}
+
+/// Status, head and body of the answer; 0 where the connection ended without one.
+fn exchange(stream: &mut TcpStream, text: &str) -> (u16, String, String) {
+    let _ = stream.write_all(text.as_bytes());
+    let Some((head, body)) = message(stream) else { return (0, String::new(), String::new()) };
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    (status, head, String::from_utf8_lossy(&body).into_owned())
+}
+
+fn settles(_: usize, stream: &mut TcpStream, head: &str) -> bool {
+    answer(stream, "200 OK", id_of(head))
+}
+
+fn first_error(number: usize, stream: &mut TcpStream, head: &str) -> bool {
+    if number == 0 { answer(stream, "500 Error", "") } else { settles(number, stream, head) }
+}
+
+fn first_full(number: usize, stream: &mut TcpStream, head: &str) -> bool {
+    if number > 0 {
+        return settles(number, stream, head);
+    }
+    stream.write_all(b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n").is_ok()
+}
+
+fn first_unavailable(number: usize, stream: &mut TcpStream, head: &str) -> bool {
+    if number == 0 { answer(stream, "503 Busy", "") } else { settles(number, stream, head) }
+}
+
+/// The request has come whole, and the connection ends without an answer.
+fn first_reset(number: usize, stream: &mut TcpStream, head: &str) -> bool {
+    number > 0 && settles(number, stream, head)
+}
+
+fn first_endless(number: usize, stream: &mut TcpStream, head: &str) -> bool {
+    if number > 0 {
+        return settles(number, stream, head);
+    }
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n");
+    while stream.write_all(&[b'x'; 4096]).is_ok() {}
+    false
+}
+
+fn first_noise(number: usize, stream: &mut TcpStream, head: &str) -> bool {
+    if number == 0 { stream.write_all(b"\x00\xffnoise").is_ok() } else { settles(number, stream, head) }
+}
+
+fn interim(_: usize, stream: &mut TcpStream, head: &str) -> bool {
+    stream.write_all(b"HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 103 Soon\r\n\r\n").is_ok() && answer(stream, "200 OK", id_of(head))
+}
+
+fn silent(_: usize, _: &mut TcpStream, _: &str) -> bool {
+    true
+}
+
+fn slow(_: usize, stream: &mut TcpStream, head: &str) -> bool {
+    thread::sleep(Duration::from_millis(150));
+    answer(stream, "200 OK", id_of(head))
+}
+
+// Guards against a second effect of a once-only transaction, a refusal of one that may have run, and against
+// repeatable ones given up though another shot was free.
+#[test_case(settles, "buy", 200, 1; "settled")]
+#[test_case(interim, "buy", 200, 1; "informational answers before it")]
+#[test_case(first_error, "lookup", 200, 2; "an error, repeatable")]
+#[test_case(first_error, "buy", 500, 1; "an error, once only")]
+#[test_case(first_full, "buy", 200, 2; "turned away unseen")]
+#[test_case(first_unavailable, "buy", 500, 1; "503 without the promise")]
+#[test_case(first_reset, "buy", 500, 1; "reset after the last byte, once only")]
+#[test_case(first_reset, "lookup", 200, 2; "reset after the last byte, repeatable")]
+#[test_case(first_endless, "buy", 500, 1; "three gigabytes, once only")]
+#[test_case(first_endless, "lookup", 200, 2; "three gigabytes, repeatable")]
+#[test_case(first_noise, "lookup", 200, 2; "noise, repeatable")]
+fn outcomes(script: Script, class: &str, status: u16, shots: usize) {
+    let node = Node::start(script);
+    let (gateway, _discovery) = Gateway::with(&node);
+    let (found, head, body) = gateway.ask(class, "9b1f03aa5c7e2d41");
+    assert_eq!((found, node.requests()), (status, shots), "{head}");
+    if status == 200 {
+        assert_eq!(body, "9b1f03aa5c7e2d41");
+    }
+    assert!(node.seen.lock().expect("no panic").iter().all(|head| id_of(head) == "9b1f03aa5c7e2d41"));
+}
+
+/// Guards against a silent node's transaction that ends without an answer, or is sent again though it may run yet.
+#[test]
+fn a_time_out_is_scrapped_and_its_connection_closed() {
+    let node = Node::start(silent);
+    let (gateway, _discovery) = Gateway::with(&node);
+    assert_eq!(exchange(&mut gateway.connect(), &put("buy", "one", "300m")).0, 500);
+    assert_eq!(node.requests(), 1);
+    until("its connection is closed", || node.ended.load(Ordering::SeqCst) == 1);
+}
+
+/// Guards against a client left waiting once the core gave up, and against advice that is lost on the way: a node
+/// that refuses connections has run nothing.
+#[test]
+fn what_never_ran_is_declined_with_advice() {
+    let refusing = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let list = listing(41, &[("s-1", refusing, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let gateway = Gateway::start(&list, discovery.address, |_| {});
+    let (status, head, _) = gateway.ask("buy", "one");
+    assert_eq!(status, 503);
+    assert!(head.contains("Retry-After: 0.500"), "{head}");
+}
+
+/// Guards against work that nobody waits for.
+#[test]
+fn a_client_that_leaves_ends_its_shot() {
+    let node = Node::start(silent);
+    let (gateway, _discovery) = Gateway::with(&node);
+    let mut client = gateway.connect();
+    client.write_all(put("lookup", "one", "1000m").as_bytes()).expect("sent");
+    until("the shot is out", || node.requests() == 1);
+    drop(client);
+    until("its connection is closed", || node.ended.load(Ordering::SeqCst) == 1);
+    assert_eq!(node.requests(), 1);
+}
+
+/// Guards against a request lost on a pooled connection that the node has closed meanwhile.
+#[test]
+fn a_connection_closed_while_idle_is_not_used() {
+    fn closes(number: usize, stream: &mut TcpStream, head: &str) -> bool {
+        settles(number, stream, head) && number > 0
+    }
+    let node = Node::start(closes);
+    let (gateway, _discovery) = Gateway::with(&node);
+    let mut client = gateway.connect();
+    assert_eq!(exchange(&mut client, &put("buy", "one", "1000m")).2, "one");
+    until("the node has closed", || node.ended.load(Ordering::SeqCst) == 1);
+    for id in ["two", "three"] {
+        assert_eq!(exchange(&mut client, &put("buy", id, "1000m")).2, id);
+    }
+    // Three requests over two connections: the second one was kept and used again.
+    assert_eq!((node.requests(), node.connections.load(Ordering::SeqCst)), (3, 2));
+}
+
+/// Guards against an answer that belongs to the request before.
+#[test]
+fn a_second_answer_behind_the_first_is_nobodys() {
+    fn twice(_: usize, stream: &mut TcpStream, head: &str) -> bool {
+        let one = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", id_of(head).len(), id_of(head));
+        stream.write_all(one.repeat(2).as_bytes()).is_ok()
+    }
+    let node = Node::start(twice);
+    let (gateway, _discovery) = Gateway::with(&node);
+    let mut client = gateway.connect();
+    for id in ["one", "two", "three"] {
+        assert_eq!(exchange(&mut client, &put("buy", id, "1000m")).2, id);
+    }
+    assert_eq!(node.connections.load(Ordering::SeqCst), 3);
+}
+
+// Guards against what can't be read being passed on, answered as served, or left without a word.
+#[test_case("PUT /api HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400; "double framing")]
+#[test_case("PUT /api HTTP/1.1\r\nHost: a\r\nContent-Length: -4\r\n\r\n", 400; "negative length")]
+#[test_case("PUT /api HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n", 413; "sixty megabytes")]
+#[test_case("noise\r\n\r\n", 400; "noise")]
+#[test_case("GET /api HTTP/1.1\r\nHost: a\r\n\r\n", 400; "no headers of ours")]
+#[test_case("PUT /api HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo", 408; "half a request")]
+#[test_case("", 0; "silence")]
+fn bad_clients(text: &str, status: u16) {
+    let node = Node::start(settles);
+    let (gateway, _discovery) = Gateway::with(&node);
+    let mut bad = gateway.connect();
+    assert_eq!(exchange(&mut bad, text).0, status);
+    assert_eq!(bad.read(&mut [0]).unwrap_or(0), 0, "closed");
+    assert_eq!(node.requests(), 0);
+    assert_eq!(gateway.ask("buy", "one").0, 200);
+}
+
+/// Guards against a second copy of an open transaction, and against its owner paying for it.
+#[test]
+fn an_id_that_is_open_is_refused_to_others() {
+    let node = Node::start(slow);
+    let (gateway, _discovery) = Gateway::with(&node);
+    let mut owner = gateway.connect();
+    owner.write_all(put("buy", "one", "1000m").as_bytes()).expect("sent");
+    until("the shot is out", || node.requests() == 1);
+    assert_eq!(gateway.ask("buy", "one").0, 409);
+    assert_eq!(exchange(&mut owner, "").2, "one");
+    assert_eq!(gateway.ask("buy", "one").0, 409);
+    assert_eq!(node.requests(), 1);
+}
+
+/// Guards against a client that sends ahead and gets answers out of order, or another's.
+#[test]
+fn pipelined_requests_are_served_in_order() {
+    let node = Node::start(settles);
+    let (gateway, _discovery) = Gateway::with(&node);
+    let mut client = gateway.connect();
+    let all: String = (0..20).map(|number| put("lookup", &format!("id{number}"), "1000m")).collect();
+    client.write_all(all.as_bytes()).expect("sent");
+    for number in 0..20 {
+        assert_eq!(exchange(&mut client, "").2, format!("id{number}"));
+    }
+}
+
+/// Guards against a crowd that takes all descriptors and says nothing.
+#[test]
+fn a_silent_crowd_does_not_shut_out_the_usual_clients() {
+    let node = Node::start(settles);
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let gateway = Gateway::start(&list, discovery.address, |config| config["limits"]["sockets"] = json!(64));
+    let mut usual = gateway.connect();
+    assert_eq!(exchange(&mut usual, &put("buy", "first", "1000m")).0, 200);
+    let mut crowd: Vec<TcpStream> = (0..200).map(|_| gateway.connect()).collect();
+    for number in 0..20 {
+        assert_eq!(gateway.ask("buy", &format!("id{number}")).0, 200);
+    }
+    let descriptors = format!("/proc/{}/fd", gateway.child.id());
+    assert!(std::fs::read_dir(descriptors).expect("its descriptors").count() <= 64);
+    // Each of the crowd is owed a close.
+    assert!(crowd.iter_mut().all(|silent| matches!(silent.read(&mut [0]), Ok(0) | Err(_))));
+}
+
+/// Guards against transactions lost at a planned restart, on connections kept and new.
+#[test]
+fn what_was_taken_is_answered_after_sigterm() {
+    let node = Node::start(slow);
+    let (mut gateway, _discovery) = Gateway::with(&node);
+    let mut clients: Vec<TcpStream> = (0..8).map(|_| gateway.connect()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.write_all(put("lookup", &format!("id{number}"), "1000m").as_bytes()).expect("sent");
+    }
+    until("all are taken", || node.requests() >= 1);
+    gateway.signal(Signal::TERM);
+    // New ones keep coming for a while.
+    let late = gateway.ask("lookup", "late");
+    assert_eq!((late.0, late.2.as_str()), (200, "late"));
+    assert!(late.1.contains("Connection: close"), "{}", late.1);
+    for (number, client) in clients.iter_mut().enumerate() {
+        assert_eq!(exchange(client, "").2, format!("id{number}"));
+    }
+    until("it has ended", || gateway.child.try_wait().expect("a child").is_some());
+    assert_eq!(gateway.child.wait().expect("ended").code(), Some(0));
+}
+
+/// Guards against a start that waits for discovery.
+#[test]
+fn it_serves_by_what_is_known_while_discovery_is_silent() {
+    let node = Node::start(settles);
+    // Takes connections into its backlog, and never says a word.
+    let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let gateway = Gateway::start(&list, discovery.local_addr().expect("bound"), |_| {});
+    let up = exchange(&mut gateway.connect(), "GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(up.0, 200);
+    assert_eq!(gateway.ask("buy", "one").0, 200);
+}
+
+/// Guards against a list that goes stale: changes over a watch, one that breaks, and a node that moves.
+#[test]
+fn changes_of_the_list_are_followed() {
+    let (one, other) = (Node::start(settles), Node::start(settles));
+    let (gateway, discovery) = Gateway::with(&one);
+    assert_eq!(gateway.ask("buy", "before").0, 200);
+    discovery.brief.store(true, Ordering::SeqCst);
+    discovery.set(listing(42, &[("s-1", other.address, "in_service")]));
+    let mut number = 0;
+    until("the node's new address is used", || {
+        number += 1;
+        gateway.ask("lookup", &format!("id{number}")).0 == 200 && other.requests() > 0
+    });
+    let before = one.requests();
+    discovery.set(listing(43, &[("s-1", other.address, "terminating"), ("s-2", one.address, "in_service")]));
+    until("the node that replaces it is used", || {
+        number += 1;
+        gateway.ask("lookup", &format!("id{number}")).0 == 200 && one.requests() > before
+    });
+}
+
+/// Guards against an outage at a new configuration: the list of before holds until the new address has told its own,
+/// and a file that cannot be read changes nothing.
+#[test]
+fn sighup_moves_to_another_discovery() {
+    let (one, other) = (Node::start(settles), Node::start(settles));
+    let (gateway, old) = Gateway::with(&one);
+    let kept = std::fs::read_to_string(&gateway.config).expect("its file");
+    std::fs::write(&gateway.config, "{").expect("a file");
+    gateway.signal(Signal::HUP);
+    assert_eq!(gateway.ask("buy", "one").0, 200);
+    // The new address counts its versions for itself, from below the old one's.
+    let new = Discovery::start(listing(3, &[("s-9", other.address, "in_service")]));
+    let mut config: Value = serde_json::from_str(&kept).expect("JSON");
+    config["discovery"] = json!(new.address.to_string());
+    std::fs::write(&gateway.config, config.to_string()).expect("a file");
+    gateway.signal(Signal::HUP);
+    old.shut.store(true, Ordering::SeqCst);
+    let mut number = 0;
+    until("the new list is used", || {
+        number += 1;
+        assert_eq!(gateway.ask("lookup", &format!("id{number}")).0, 200);
+        other.requests() > 0
+    });
+}
+
+#[test]
+fn a_wrong_configuration_ends_with_one_message() {
+    let path = std::env::temp_dir().join(format!("quaypath-wrong-{}.json", std::process::id()));
+    std::fs::write(&path, SAMPLE.replace("\"127.0.0.1:0\"", "\"nowhere\"")).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-gateway"));
+    let done = command.arg("--platform").env("BALANCER_CONFIG", &path).output().expect("the gateway");
+    let text = String::from_utf8_lossy(&done.stderr).into_owned();
+    assert_eq!(done.status.code(), Some(2));
+    assert!(text.lines().count() == 1 && text.contains("listen: found nowhere"), "{text}");
+    let _ = std::fs::remove_file(path);
+}
+
+/// Guards against a body still coming in that eats the error: the client reads it though it sends on.
+#[test]
+fn an_error_is_read_by_a_client_that_still_sends() {
+    let node = Node::start(settles);
+    let (gateway, _discovery) = Gateway::with(&node);
+    let mut bad = gateway.connect();
+    bad.write_all(b"PUT /api HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n").expect("sent");
+    for _ in 0..25 {
+        bad.write_all(&[b'x'; 4000]).expect("it still takes them");
+    }
+    assert_eq!(exchange(&mut bad, "").0, 413);
+    let _ = bad.shutdown(Shutdown::Both);
+}
