--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -18,8 +18,10 @@
 
 /// A whole request is wanted within so many seconds of the connection's opening, or of its own first byte.
 const PATIENCE: f64 = 2.5;
-/// An idle connection that was used before is closed after this, seconds.
+/// An idle connection that was used before is closed after this, seconds; and where more than half of the room for
+/// client connections is taken. The platform allows it from 2 s on.
 pub const IDLE: f64 = 15.0;
+pub const IDLE_PRESSED: f64 = 2.0;
 /// How long a peer may take to read an answer, seconds.
 const WRITE: f64 = 5.0;
 /// What is still coming in when an error is written is read for so long, and so much of it, before the close: the
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -675,8 +675,11 @@
         let idle = self.config.waits.idle;
         let now = self.now;
         self.nodes.values_mut().for_each(|node| node.pool.sweep(now, idle));
+        // Clients may have as many connections as we hold, and leave some for good: those keep new ones out.
+        let pressed = 2 * self.fronts.len() > self.most_fronts;
+        let most = if pressed { crate::front::IDLE_PRESSED } else { crate::front::IDLE };
         for front in self.fronts.values_mut() {
-            if front.standing == Standing::Idle && now - front.since > crate::front::IDLE {
+            if front.standing == Standing::Idle && now - front.since > most {
                 front.to(Standing::Closing, now);
             }
         }
