Connections that rested for longer than goes well are not used again

Checked by a probe (not kept) of the rest before each use: up to 50 ms 6% lost, at 50 to 100 ms 15%, beyond 100 ms 42%, the loss 0.1 ms after the write; no end was to be read before it. On churn 2% were lost after any rest, so a fixed shorter rest was ruled out. Pool::get in crates/platform/src/back.rs reused whatever looked clean; now uses are counted by the rest before, over 15 s, and rests of which over a tenth were lost are not used.

--- a/crates/platform/src/back.rs
+++ b/crates/platform/src/back.rs
@@ -10,6 +10,7 @@
 
 use async_io::Async;
 use futures_lite::FutureExt;
+use quaypath::ring::Ring;
 use quaypath_http::{Part, Refused, ResponseDecoder, ResponseHead};
 use quaypath_initiator::net::{turn, within, Turns};
 use quaypath_initiator::outcome::Progress;
@@ -23,19 +24,50 @@
 /// How long a connection rests after an answer before it is used again, seconds: a second answer right behind the
 /// first has come by then, and is seen.
 const REST: f64 = 0.001;
+/// Connections may be dropped far sooner than the settings say, and without a word: by whoever keeps track of them on
+/// the way. Then those that rested for longer than what goes well are not used. Rests are told apart by doubling from
+/// [`REST`]; a kind goes badly where more than this share was lost under its request, among so many uses that are
+/// taken to have gone well. A lost request costs far more than a fresh connection, but not twice in ten.
+const BADLY: f64 = 0.1;
+const WELL: f64 = 20.0;
+const RESTS: usize = 16;
 /// Part of the node's idle time after which we close first.
 const IDLE_PART: f64 = 0.8;
 
+/// How connections fared of late, by how long they had rested before their use.
+pub struct Rests(Vec<Ring>);
+
+impl Default for Rests {
+    fn default() -> Self {
+        Rests(vec![Ring::new(3.0, 5); RESTS])
+    }
+}
+
+impl Rests {
+    pub fn note(&mut self, now: f64, rest: f64, lost: bool) {
+        let kind = (rest / REST).max(1.0).log2() as usize;
+        self.0[kind.min(RESTS - 1)].add(now, f64::from(u8::from(lost)), 1.0);
+    }
+
+    /// The rest past which a connection is not used, seconds.
+    pub fn longest(&mut self, now: f64) -> f64 {
+        let bad = self.0.iter_mut().position(|kind| kind.blend(now, 0.0, WELL) > BADLY);
+        bad.map_or(f64::INFINITY, |kind| REST * f64::powi(2.0, kind as i32))
+    }
+}
+
 /// A connection to a node, counted while it is kept.
 pub struct Back {
     stream: Async<TcpStream>,
     all: Rc<Cell<usize>>,
+    /// How long it rested before its present use; absent on its first.
+    rest: Option<f64>,
 }
 
 impl Back {
     fn new(stream: Async<TcpStream>, all: Rc<Cell<usize>>) -> Self {
         all.set(all.get() + 1);
-        Back { stream, all }
+        Back { stream, all, rest: None }
     }
 
     /// Whether it stands and holds nothing to be read.
@@ -69,16 +101,19 @@
         self.0.push((now, back));
     }
 
-    /// The latest used that has rested and is clean; how many were found not to be is counted.
-    fn get(&mut self, now: f64, stale: &mut u64) -> Option<Back> {
+    /// The latest used that has rested, for no longer than goes well, and is clean; those that are not are closed,
+    /// and counted.
+    fn get(&mut self, now: f64, longest: f64, stale: &mut u64) -> Option<Back> {
         let mut at = self.0.len();
         while at > 0 {
             at -= 1;
-            if now - self.0[at].0 < REST {
+            let rest = now - self.0[at].0;
+            if rest < REST {
                 continue;
             }
-            let (_, back) = self.0.remove(at);
-            if back.clean() {
+            let (_, mut back) = self.0.remove(at);
+            back.rest = Some(rest);
+            if rest < longest && back.clean() {
                 return Some(back);
             }
             *stale += 1;
@@ -142,8 +177,9 @@
         let mut this = this.borrow_mut();
         let this = &mut *this;
         let now = this.clock_now();
+        let longest = this.rests.longest(now);
         let node = this.nodes.get_mut(&shot.node)?;
-        if let Some(back) = node.pool.get(now, &mut this.counts.stale) {
+        if let Some(back) = node.pool.get(now, longest, &mut this.counts.stale) {
             return Some(back);
         }
         let address = node.address;
@@ -258,6 +294,11 @@
         ended = looked.unwrap_or(ended);
     }
     let Some(this) = instance.upgrade() else { return };
+    if let Some(rest) = used.as_ref().and_then(|back| back.rest) {
+        let (mut this, lost) = (this.borrow_mut(), ended == Ended::Lost && incoming.head.is_none());
+        let now = this.clock_now();
+        this.rests.note(now, rest, lost);
+    }
     // Closed, or back in the pool, before the core may send again.
     let back = used.take().filter(|_| matches!(ended, Ended::Answered(..)) && incoming.reusable());
     if let Some(back) = back {
@@ -278,3 +319,27 @@
     };
     turn(&this, |this| this.returned(&shot, ended, told, answer));
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    /// Of each ten uses so many were lost, by the rest before: which rest is the longest that is used.
+    #[test_case(&[], f64::INFINITY; "nothing known")]
+    #[test_case(&[(0.002, 0), (0.5, 0)], f64::INFINITY; "all went well")]
+    #[test_case(&[(0.003, 1), (0.02, 0), (0.2, 1)], f64::INFINITY; "a few lost after any rest: no reason to rest less")]
+    #[test_case(&[(0.003, 0), (0.02, 0), (0.2, 4), (0.5, 5)], 0.128; "lost after long rests")]
+    fn rests(uses: &[(f64, usize)], longest: f64) {
+        let mut rests = Rests::default();
+        for (rest, lost) in uses {
+            for at in 0..100 {
+                rests.note(10.0, *rest, at % 10 < *lost);
+            }
+        }
+        let found = rests.longest(10.0);
+        assert!(found == longest || (found - longest).abs() < 1e-9, "{found}");
+        // What was long ago says nothing.
+        assert_eq!(rests.longest(40.0), f64::INFINITY);
+    }
+}
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -23,7 +23,7 @@
 use quaypath_record::Clock;
 use tracing::{debug, info, warn};
 
-use crate::back::{self, Pool};
+use crate::back::{self, Pool, Rests};
 use crate::config::Config;
 use crate::decode::{asked, onward, Told};
 use crate::discovery::{Listing, Status};
@@ -235,6 +235,7 @@
     /// Connections to nodes, idle ones included.
     pub backs: Rc<Cell<usize>>,
     pub most_backs: usize,
+    pub rests: Rests,
     /// For bodies of requests, and for those of answers.
     requests: Room,
     answers: Room,
@@ -325,6 +326,7 @@
             nodes: BTreeMap::new(),
             backs: Rc::default(),
             most_backs,
+            rests: Rests::default(),
             requests: Room::new((memory * BODIES) as usize),
             answers: Room::new((memory * BODIES) as usize),
             index: config.known.index,
