One reader for both drivers; shots out, outcomes and closes of the platform said once

Found on a last reading, behaviour as before. crates/platform/src/socket.rs had written again the read through the thread's one buffer that crates/initiator's net.rs does; read_now and read_some stand there now, and the last look at a socket uses the same. Shots out at a node were counted by hand beside the open transactions that tell them. The outcome of a shot was looked up twice, a final answer given by two functions, idle clients closed by two loops, the end of a shot spread over four borrows in place of one turn.

--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -185,6 +185,38 @@
     static BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ]);
 }
 
+/// What a read brought.
+pub enum Came<R> {
+    /// What was made of the bytes.
+    Bytes(R),
+    /// The peer sends no more.
+    End,
+}
+
+/// Hands what is there to `take`, without waiting; none where nothing is.
+pub fn read_now<R>(mut stream: &TcpStream, take: impl FnOnce(&[u8]) -> R) -> io::Result<Option<Came<R>>> {
+    BUFFER.with_borrow_mut(|buffer| match stream.read(buffer) {
+        Ok(0) => Ok(Some(Came::End)),
+        Ok(count) => Ok(Some(Came::Bytes(take(&buffer[..count])))),
+        Err(error) => match error.kind() {
+            io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted => Ok(None),
+            _ => Err(error),
+        },
+    })
+}
+
+/// Waits for bytes and hands them to `take`.
+pub async fn read_some<R>(
+    stream: &Async<TcpStream>, mut take: impl FnMut(&[u8]) -> R,
+) -> io::Result<Came<R>> {
+    loop {
+        match read_now(stream.get_ref(), &mut take)? {
+            Some(came) => return Ok(came),
+            None => stream.readable().await?,
+        }
+    }
+}
+
 async fn serve(
     instance: Weak<RefCell<Instance>>, stream: Rc<Async<TcpStream>>,
     take: impl Fn(&mut Instance, &[u8]) -> bool, close: impl Fn(&mut Instance),
@@ -192,20 +224,10 @@
     loop {
         let Some(this) = instance.upgrade() else { return };
         this.borrow_mut().counts.reads += 1;
-        let read = BUFFER.with_borrow_mut(|buffer| {
-            let mut direct = stream.get_ref();
-            match direct.read(buffer) {
-                Ok(0) => Ok(Some(false)),
-                Ok(count) => Ok(Some(turn(&this, |this| take(this, &buffer[..count])))),
-                Err(error) => match error.kind() {
-                    io::ErrorKind::WouldBlock => Ok(None),
-                    io::ErrorKind::Interrupted => Ok(Some(true)),
-                    _ => Err(error),
-                },
-            }
-        });
+        let read = read_now(stream.get_ref(), |bytes| turn(&this, |this| take(this, bytes)));
         let more = match read {
-            Ok(Some(more)) => more,
+            Ok(Some(Came::Bytes(more))) => more,
+            Ok(Some(Came::End)) => false,
             Ok(None) => {
                 drop(this);
                 if stream.readable().await.is_err() {
--- a/crates/platform/src/back.rs
+++ b/crates/platform/src/back.rs
@@ -3,23 +3,22 @@
 //! A connection carries one request at a time, and the latest used goes first, as a fresh one costs the node
 //! work. Before each use it is looked at: one that has ended, or that holds bytes nobody asked for, is closed.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 
 use async_io::Async;
 use futures_lite::FutureExt;
 use quaypath::ring::Ring;
 use quaypath_http::{Part, Refused, ResponseDecoder, ResponseHead};
-use quaypath_initiator::net::{turn, within, Turns};
+use quaypath_initiator::net::{read_now, read_some, turn, within, Came, Turns};
 use quaypath_initiator::outcome::Progress;
 
 use crate::decode::{self, Told};
 use crate::front::Answer;
-use crate::instance::{Held, Instance, Message, Node, Shot};
+use crate::instance::{Held, Message, Node, Shot, Weakly};
 use crate::outcome::Ended;
-use crate::socket::{read_some, Read as Came};
 
 /// How long a connection rests after an answer before it is used again, seconds: a second answer right behind the
 /// first has come by then, and is seen.
@@ -168,8 +167,6 @@
     }
 }
 
-type Weakly = Weak<RefCell<Instance>>;
-
 /// A connection for a shot: one of the pool, or a fresh one within the connect time-out.
 async fn connection(instance: &Weakly, shot: &Shot) -> Option<Back> {
     let (fresh, wait, all) = {
@@ -234,14 +231,13 @@
     let back = used.insert(back);
     let bytes = {
         let Some(this) = instance.upgrade() else { return Ended::Lost };
-        let mut this = this.borrow_mut();
-        this.begin_turn();
         // The node may have been listed as draining, or as gone, while its connection came up.
-        if this.shut(&shot.node) {
+        let (now, shut) = turn(&this, |this| (this.now, this.shut(&shot.node)));
+        if shut {
             return Ended::Lost;
         }
         shot.to(Progress::Queued);
-        decode::shot(&message.head, &message.body, shot.stop_at - this.now)
+        decode::shot(&message.head, &message.body, shot.stop_at - now)
     };
     if write(back, shot, &bytes).await.is_err() {
         return Ended::Lost;
@@ -264,26 +260,17 @@
 
 /// What has come and was not read yet when the time was up: a standstill of ours is not the node's.
 fn last_look(back: &Back, incoming: &mut Incoming) -> Option<Ended> {
-    let mut buffer = vec![0; 64 << 10];
-    loop {
-        let count = back.stream.get_ref().read(&mut buffer).ok().filter(|count| *count > 0)?;
-        match incoming.take(&buffer[..count]) {
-            Ok(true) => return Some(answered(incoming)),
-            Ok(false) => {}
-            Err(_) => return None,
+    while let Ok(Some(Came::Bytes(Ok(whole)))) = read_now(back.stream.get_ref(), |bytes| incoming.take(bytes))
+    {
+        if whole {
+            return Some(answered(incoming));
         }
     }
+    None
 }
 
 /// The task of one shot.
 pub async fn shoot(instance: Weakly, shot: Rc<Shot>, message: Rc<Message>) {
-    let node_out = |change: isize| {
-        let Some(this) = instance.upgrade() else { return };
-        let mut this = this.borrow_mut();
-        let node = this.nodes.get_mut(&shot.node);
-        node.into_iter().for_each(|node| node.out = node.out.saturating_add_signed(change));
-    };
-    node_out(1);
     let Some((room, most)) = instance.upgrade().map(|this| this.borrow().answers()) else { return };
     let (decoder, held) = (ResponseDecoder::new(most), room.hold(0));
     let mut incoming = Incoming { decoder, head: None, body: Vec::new(), whole: false, held };
@@ -294,21 +281,10 @@
         ended = looked.unwrap_or(ended);
     }
     let Some(this) = instance.upgrade() else { return };
-    if let Some(rest) = used.as_ref().and_then(|back| back.rest) {
-        let (mut this, lost) = (this.borrow_mut(), ended == Ended::Lost && incoming.head.is_none());
-        let now = this.clock_now();
-        this.rests.note(now, rest, lost);
-    }
+    let rested = used.as_ref().and_then(|back| back.rest);
+    let lost = ended == Ended::Lost && incoming.head.is_none();
     // Closed, or back in the pool, before the core may send again.
     let back = used.take().filter(|_| matches!(ended, Ended::Answered(..)) && incoming.reusable());
-    if let Some(back) = back {
-        let mut this = this.borrow_mut();
-        let (now, shut) = (this.clock_now(), this.shut(&shot.node));
-        if let Some(node) = this.nodes.get_mut(&shot.node).filter(|_| !shut) {
-            node.pool.put(now, back);
-        }
-    }
-    node_out(-1);
     let (told, answer) = match incoming.head.take().filter(|_| incoming.whole) {
         Some(head) => {
             let told = decode::told(&head.headers, &this.borrow().config.waits.load);
@@ -317,7 +293,15 @@
         }
         None => (Told::default(), None),
     };
-    turn(&this, |this| this.returned(&shot, ended, told, answer));
+    turn(&this, |this| {
+        let now = this.now;
+        rested.into_iter().for_each(|rest| this.rests.note(now, rest, lost));
+        let shut = this.shut(&shot.node);
+        if let Some((node, back)) = this.nodes.get_mut(&shot.node).filter(|_| !shut).zip(back) {
+            node.pool.put(now, back);
+        }
+        this.returned(&shot, ended, told, answer);
+    });
 }
 
 #[cfg(test)]
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,20 +1,17 @@
 //! Discovery: the whole list, then the watch on it, one object a line.
 
-use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
 use quaypath_http::{Part, ResponseDecoder};
-use quaypath_initiator::net::{turn, within};
+use quaypath_initiator::net::{read_some, turn, within, Came};
 use serde::Deserialize;
 use tracing::{debug, info, warn};
 
-use crate::instance::Instance;
-use crate::socket::{read_some, Read};
+use crate::instance::{Shared, Weakly};
 
 /// A call is up, and its answer begins, within so many seconds.
 const CALL: f64 = 1.0;
@@ -57,8 +54,6 @@
     pub endpoints: Vec<Endpoint>,
 }
 
-type Weakly = Weak<RefCell<Instance>>;
-
 /// Keeps the list up to date from one address, for as long as no other one has taken its place.
 pub async fn follow(instance: Weakly, address: SocketAddr, source: u64) {
     let mut wait = FIRST_WAIT;
@@ -129,7 +124,7 @@
             }
             let decoder = &mut self.decoder;
             let read = read_some(&self.stream, |bytes| decoder.feed(bytes));
-            if let Read::End = within(patience, read).await? {
+            if let Came::End = within(patience, read).await? {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
@@ -197,7 +192,7 @@
 
 /// Hands a listing on, if this address still is the one that is heard; a newer one takes over with its first list.
 fn tell(instance: &Weakly, source: u64, listing: &Listing) -> io::Result<bool> {
-    let this: Rc<RefCell<Instance>> = instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+    let this: Shared = instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
     if this.borrow().source > source {
         return Err(bad("replaced"));
     }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -4,17 +4,16 @@
 use std::future::pending;
 use std::io;
 use std::net::{Shutdown, TcpStream};
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use quaypath_http::{error, response, Request, RequestDecoder, MOST_HEAD};
-use quaypath_initiator::net::{turn, within, Notify, Turns};
+use quaypath_initiator::net::{read_some, turn, within, Came, Notify, Turns};
 
-use crate::instance::{Held, Instance};
-use crate::socket::{read_some, Read};
+use crate::instance::{Held, Shared, Weakly};
 
 /// A whole request is wanted within so many seconds of the connection's opening, or of its own first byte.
 const PATIENCE: f64 = 2.5;
@@ -72,8 +71,10 @@
 impl Answer {
     fn encode(&self, close: bool) -> Vec<u8> {
         match self {
-            Answer::Settled(Some(kind), body, _) => response(200, &[("Content-Type", kind)], body, close),
-            Answer::Settled(None, body, _) => response(200, &[], body, close),
+            Answer::Settled(kind, body, _) => {
+                let kind = kind.as_deref().map(|kind| ("Content-Type", kind));
+                response(200, kind.as_slice(), body, close)
+            }
             Answer::Declined(come_back) if *come_back > 0.0 => {
                 let wait = format!("{:.3}", (come_back * 1e3).ceil() / 1e3);
                 response(503, &[("Retry-After", &wait)], b"declined\n", close)
@@ -107,8 +108,6 @@
     }
 }
 
-type Weakly = Weak<RefCell<Instance>>;
-
 /// Serves one client connection until it ends.
 pub async fn serve(instance: Weakly, number: u64, kick: Rc<Notify>, stream: Rc<Async<TcpStream>>) {
     let mut client =
@@ -138,9 +137,13 @@
 }
 
 impl Client {
+    fn instance(&self) -> io::Result<Shared> {
+        self.instance.upgrade().ok_or(io::ErrorKind::NotConnected.into())
+    }
+
     /// Notes how the connection stands.
     fn stands(&self, standing: Standing) -> io::Result<f64> {
-        let this = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+        let this = self.instance()?;
         let mut this = this.borrow_mut();
         let now = this.clock_now();
         if let Some(front) = this.fronts.get_mut(&self.number) {
@@ -232,12 +235,12 @@
 
     /// Waits for more bytes, a kick, or the end of patience.
     async fn more(&mut self, until: Option<f64>) -> io::Result<Went> {
-        let now = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?.borrow().clock_now();
+        let now = self.instance()?.borrow().clock_now();
         let decoder = &mut self.decoder;
         let read = async {
             match read_some(&self.stream, |bytes| decoder.feed(bytes)).await? {
-                Read::Bytes(()) => Ok(Went::More),
-                Read::End => Ok(Went::End),
+                Came::Bytes(()) => Ok(Went::More),
+                Came::End => Ok(Went::End),
             }
         };
         let kicked = async {
@@ -253,14 +256,14 @@
         };
         let went: io::Result<Went> = read.or(kicked).or(late).await;
         if matches!(went, Ok(Went::More)) {
-            self.arrived = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?.borrow().clock_now();
+            self.arrived = self.instance()?.borrow().clock_now();
         }
         went
     }
 
     /// One transaction from its request to its final answer; false where the connection has been closed.
     async fn transaction(&mut self, request: Request, held: Held) -> io::Result<bool> {
-        let this = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+        let this = self.instance()?;
         self.stands(Standing::Busy)?;
         let wants_close = request.close;
         let taken = turn(&this, |this| this.take(request, held, self.arrived));
@@ -278,14 +281,14 @@
             // What comes meanwhile is the next request; past a head's length it waits in the kernel.
             while decoder.held() < MOST_HEAD {
                 match read_some(&stream, |bytes| decoder.feed(bytes)).await {
-                    Ok(Read::Bytes(())) => {}
-                    Ok(Read::End) | Err(_) => return None,
+                    Ok(Came::Bytes(())) => {}
+                    Ok(Came::End) | Err(_) => return None,
                 }
             }
             pending().await
         };
         let answer = async { Some(reply.wait().await) }.or(gone).await;
-        let this = self.instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+        let this = self.instance()?;
         let Some(answer) = answer else {
             turn(&this, |this| this.lapsed(id));
             return Ok(false);
@@ -320,8 +323,8 @@
         let rest = async {
             while left > 0 {
                 match read_some(&self.stream, <[u8]>::len).await? {
-                    Read::Bytes(count) => left = left.saturating_sub(count),
-                    Read::End => break,
+                    Came::Bytes(count) => left = left.saturating_sub(count),
+                    Came::End => break,
                 }
                 yield_now().await;
             }
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -27,7 +27,7 @@
 use crate::config::Config;
 use crate::decode::{asked, onward, Told};
 use crate::discovery::{Listing, Status};
-use crate::front::{Answer, Front, Reply, Standing};
+use crate::front::{Answer, Front, Reply, Standing, IDLE, IDLE_PRESSED};
 use crate::ids::Ids;
 use crate::outcome::{outcome, Ended};
 
@@ -84,7 +84,7 @@
 enum Happened {
     List(ListScope, Vec<Listed>),
     Taken(u64),
-    Back(u64, u32, Ended, Told),
+    Back(u64, u32, Outcome, Told),
     Lapsed(u64),
     Rang(u64),
 }
@@ -211,12 +211,13 @@
     /// Since when we know that it drains.
     shut_since: Option<f64>,
     started: f64,
-    /// Shots out there by the sockets.
-    pub out: usize,
 }
 
+pub type Shared = Rc<RefCell<Instance>>;
+pub type Weakly = Weak<RefCell<Instance>>;
+
 pub struct Instance {
-    pub config: Rc<Config>,
+    pub config: Config,
     core: Box<dyn Core>,
     actions: Actions,
     events: VecDeque<Happened>,
@@ -230,7 +231,7 @@
     ids: Ids,
     pub fronts: BTreeMap<u64, Front>,
     next_front: u64,
-    pub most_fronts: usize,
+    most_fronts: usize,
     pub nodes: BTreeMap<NodeId, Node>,
     /// Connections to nodes, idle ones included.
     pub backs: Rc<Cell<usize>>,
@@ -243,11 +244,11 @@
     pub index: u64,
     pub source: u64,
     pub asked: Rc<Notify>,
-    pub chance: WyRand,
+    chance: WyRand,
     pub stopping: bool,
     pub counts: Counts,
     executor: Weak<LocalExecutor<'static>>,
-    me: Weak<RefCell<Instance>>,
+    me: Weakly,
 }
 
 impl Turns for Instance {
@@ -300,14 +301,13 @@
 }
 
 impl Instance {
-    pub fn start(config: Rc<Config>, executor: &Rc<LocalExecutor<'static>>) -> Rc<RefCell<Instance>> {
+    pub fn start(config: Config, executor: &Rc<LocalExecutor<'static>>) -> Shared {
         let clock = Clock::default();
         let now = clock.now();
         let mut actions = Actions::default();
         let core = core::of_settings(now, config.seed, config.core.clone(), &mut actions);
         let share = |part: f64| (config.limits.sockets as f64 * part) as usize;
         let memory = config.limits.memory_mb * 1e6;
-        let most_backs = share(NODES).max(8);
         let instance = Rc::new(RefCell::new(Instance {
             core,
             actions,
@@ -325,7 +325,7 @@
             most_fronts: share(CLIENTS),
             nodes: BTreeMap::new(),
             backs: Rc::default(),
-            most_backs,
+            most_backs: share(NODES).max(8),
             rests: Rests::default(),
             requests: Room::new((memory * BODIES) as usize),
             answers: Room::new((memory * BODIES) as usize),
@@ -337,15 +337,16 @@
             counts: Counts::default(),
             executor: Rc::downgrade(executor),
             me: Weak::new(),
-            config: config.clone(),
+            config,
         }));
         let mut this = instance.borrow_mut();
         this.me = Rc::downgrade(&instance);
         this.timers.set(now + BEAT, Timer::Beat);
         this.timers.set(now + SWEEP, Timer::Sweep);
-        this.listed(&config.known, ListScope::Cached);
+        let known = std::mem::take(&mut this.config.known);
+        this.listed(&known, ListScope::Cached);
         this.finish_turn();
-        info!(name = config.name, nodes = this.nodes.len(), "started with the list as it was known");
+        info!(name = this.config.name, nodes = this.nodes.len(), "started with the list as it was known");
         drop(this);
         instance
     }
@@ -370,10 +371,9 @@
                     out,
                 );
             }
-            Happened::Back(id, number, ended, told) => {
+            Happened::Back(id, number, outcome, told) => {
                 let Some(t) = self.open.get_mut(&id) else { return };
                 let Some(shot) = t.shot.take_if(|shot| shot.number == number) else { return };
-                let outcome = outcome(ended, shot.progress());
                 *self.counts.outcomes.entry(name(outcome)).or_default() += 1;
                 let over = t.client.is_none();
                 let last = over || outcome == Outcome::Settled;
@@ -530,17 +530,18 @@
 
     /// A shot is over, and its connection closed or back in the pool.
     pub fn returned(&mut self, shot: &Shot, ended: Ended, told: Told, answer: Option<Answer>) {
-        if outcome(ended, shot.progress()) == Outcome::Settled {
-            let settled = answer.is_some_and(|answer| self.answer_of(shot.id, answer));
+        let outcome = outcome(ended, shot.progress());
+        if outcome == Outcome::Settled {
+            let settled = answer.is_some_and(|answer| self.answer(shot.id, answer));
             self.counts.settled += u64::from(settled);
         }
-        self.events.push_back(Happened::Back(shot.id, shot.number, ended, told));
+        self.events.push_back(Happened::Back(shot.id, shot.number, outcome, told));
     }
 
-    /// As [`Instance::answer`], while the shot is still to be handed over.
-    fn answer_of(&mut self, id: u64, answer: Answer) -> bool {
-        let reply = self.open.get_mut(&id).and_then(|open| open.client.take());
-        reply.inspect(|reply| reply.give(answer)).is_some()
+    /// Shots out at a node by the sockets.
+    pub fn out(&self, node: &NodeId) -> usize {
+        let shots = self.open.values().filter_map(|open| open.shot.as_ref());
+        shots.filter(|shot| shot.node == *node).count()
     }
 
     /// Whether nothing may leave for a node any more: it has drained for as long as the rule allows, with room
@@ -596,7 +597,7 @@
                     self.nodes.remove(&name);
                 }
                 _ => {
-                    let fresh = || Node { address, pool: Pool::default(), shut_since: None, started, out: 0 };
+                    let fresh = || Node { address, pool: Pool::default(), shut_since: None, started };
                     let node = self.nodes.entry(name.clone()).or_insert_with(fresh);
                     if (node.address, node.started) != (address, started) {
                         // Moved or started anew: what stands idle leads to what was there before.
@@ -660,16 +661,21 @@
     /// No more requests: idle connections are closed, others with their answer.
     pub fn stop(&mut self) {
         self.stopping = true;
+        self.close_idle(f64::NEG_INFINITY);
+    }
+
+    /// Closes client connections that are idle for longer than this, seconds.
+    fn close_idle(&mut self, most: f64) {
         let now = self.now;
-        let idle = self.fronts.values_mut().filter(|front| matches!(front.standing, Standing::Idle));
-        idle.for_each(|front| front.to(Standing::Closing, now));
+        let idle = |front: &&mut Front| front.standing == Standing::Idle && now - front.since > most;
+        self.fronts.values_mut().filter(idle).for_each(|front| front.to(Standing::Closing, now));
     }
 
     /// The process ends: what is open by now has come to no end that could be told.
     pub fn finish(&mut self) {
         let open: Vec<u64> = self.open.keys().copied().collect();
         for id in open {
-            self.counts.scrapped += u64::from(self.answer_of(id, Answer::Scrapped));
+            self.counts.scrapped += u64::from(self.answer(id, Answer::Scrapped));
         }
     }
 
@@ -679,12 +685,7 @@
         self.nodes.values_mut().for_each(|node| node.pool.sweep(now, idle));
         // Clients may have as many connections as we hold, and leave some for good: those keep new ones out.
         let pressed = 2 * self.fronts.len() > self.most_fronts;
-        let most = if pressed { crate::front::IDLE_PRESSED } else { crate::front::IDLE };
-        for front in self.fronts.values_mut() {
-            if front.standing == Standing::Idle && now - front.since > most {
-                front.to(Standing::Closing, now);
-            }
-        }
+        self.close_idle(if pressed { IDLE_PRESSED } else { IDLE });
     }
 
     /// The counts, with what is open now.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,12 +11,10 @@
 mod ids;
 mod instance;
 pub mod outcome;
-mod socket;
 
-use std::cell::RefCell;
 use std::io;
 use std::net::TcpListener;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
@@ -30,7 +28,7 @@
 pub use config::Config;
 pub use instance::Counts;
 
-use instance::Instance;
+use instance::{Instance, Shared, Weakly};
 
 /// Connections that the kernel holds for us until they are accepted.
 const BACKLOG: i32 = 1024;
@@ -45,8 +43,6 @@
 const LAST_WRITES: f64 = 0.05;
 const REPORT: Duration = Duration::from_secs(5);
 
-type Shared = Rc<RefCell<Instance>>;
-
 fn listen(config: &Config) -> io::Result<Async<TcpListener>> {
     let socket = Socket::new(Domain::for_address(config.listen), Type::STREAM, Some(Protocol::TCP))?;
     // A restart comes back under the same address, with connections of before still closing.
@@ -61,12 +57,12 @@
     let signals = Signals::new([Signal::Term, Signal::Hup])?;
     let listener = listen(&config)?;
     let executor = Rc::new(LocalExecutor::new());
-    let config = Rc::new(config);
-    let instance = Instance::start(config.clone(), &executor);
+    let discovery = config.discovery;
+    let instance = Instance::start(config, &executor);
     let weak = Rc::downgrade(&instance);
-    info!(address = %listener.get_ref().local_addr()?, discovery = %config.discovery, "listening");
+    info!(address = %listener.get_ref().local_addr()?, %discovery, "listening");
     executor.spawn(timers(weak.clone())).detach();
-    executor.spawn(discovery::follow(weak.clone(), config.discovery, 0)).detach();
+    executor.spawn(discovery::follow(weak.clone(), discovery, 0)).detach();
     executor.spawn(report(weak.clone())).detach();
     let served = accept(weak, Rc::downgrade(&executor), listener);
     let stopped = obey(instance.clone(), signals, executor.clone());
@@ -81,7 +77,7 @@
 }
 
 async fn accept(
-    instance: Weak<RefCell<Instance>>, executor: Weak<LocalExecutor<'static>>, listener: Async<TcpListener>,
+    instance: Weakly, executor: std::rc::Weak<LocalExecutor<'static>>, listener: Async<TcpListener>,
 ) {
     loop {
         let (stream, _) = accepted(&listener).await;
@@ -94,7 +90,7 @@
     }
 }
 
-async fn report(instance: Weak<RefCell<Instance>>) {
+async fn report(instance: Weakly) {
     loop {
         Timer::after(REPORT).await;
         let Some(this) = instance.upgrade() else { return };
@@ -103,12 +99,12 @@
 }
 
 fn log(instance: &Shared) {
-    let mut this = instance.borrow_mut();
-    let counts = serde_json::to_string(&this.counted()).unwrap_or_default();
+    let counts = serde_json::to_string(&instance.borrow_mut().counted()).unwrap_or_default();
+    let this = instance.borrow();
     let nodes: Vec<String> = this
         .nodes
         .iter()
-        .map(|(name, node)| format!("{}={}+{}", name.0, node.out, node.pool.len()))
+        .map(|(name, node)| format!("{}={}+{}", name.0, this.out(name), node.pool.len()))
         .collect();
     info!(counts, nodes = nodes.join(" "), "counts");
 }
