--- /dev/null
+++ b/crates/fleet/src/message.rs
@@ -0,0 +1,236 @@
+//! The datagrams: 1,200 bytes at most, one version, decoded without panic for any bytes.
+//!
+//! | bytes | what |
+//! | --- | --- |
+//! | 2, 1, 1 | `qf`, version, kind |
+//! | 8 | the fleet: hash of its name |
+//! | 2, 8, 4 | sender, its life, its incarnation number |
+//! | 4 | number of the datagram among the sender's |
+//! | 4, 2, 1 | the kind's own: number of the check, a member, a flag |
+//! | 1, 17 each | news of members |
+//! | 1, 13 each | findings of duties |
+//! | 8 | check: xxh3 of all before, seeded by the fleet; against damage and mix-ups, not against forgery |
+//!
+//! All numbers little endian.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{DutyId, MemberId, Status};
+
+/// Longest datagram, bytes: fits an Ethernet frame with room for tunnels.
+pub const LONGEST: usize = 1200;
+pub const VERSION: u8 = 1;
+const MAGIC: [u8; 2] = *b"qf";
+const HEAD: usize = 37;
+const NEWS: usize = 17;
+const FINDING: usize = 13;
+const CHECK: usize = 8;
+/// Most news in a check or its answer, and in a page of the whole state.
+pub const MOST_NEWS: usize = 24;
+pub const MOST_PAGE: usize = 60;
+pub const MOST_FINDINGS: usize = 40;
+/// Age of a finding from which on it is not told any closer, units of 10 ms.
+pub const OLDEST: u16 = 0x7fff;
+/// No member.
+pub const NOBODY: MemberId = MemberId(u16::MAX);
+
+// The longest of each kind fits.
+const _: () = assert!(HEAD + 1 + MOST_NEWS * NEWS + 1 + MOST_FINDINGS * FINDING + CHECK <= LONGEST);
+const _: () = assert!(HEAD + 1 + MOST_PAGE * NEWS + 1 + CHECK <= LONGEST);
+
+/// A fleet's name as datagrams carry it.
+pub fn fleet(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A check; its answer goes to `member` as well where that is somebody.
+    Ping,
+    Ack,
+    /// Check this member for me.
+    Ask,
+    /// I was asked to check, and there is no answer yet.
+    Nack,
+    /// A part of the sender's whole state from `member` on; with the flag, a part of yours is wanted.
+    Page,
+}
+
+const KINDS: [Kind; 5] = [Kind::Ping, Kind::Ack, Kind::Ask, Kind::Nack, Kind::Page];
+
+/// What is said of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct News {
+    pub member: MemberId,
+    /// Grows with every start of the member's process.
+    pub life: u64,
+    /// Raised by the member itself to refute a suspicion.
+    pub incarnation: u32,
+    pub status: Status,
+    /// Who suspects it.
+    pub by: MemberId,
+}
+
+/// What a duty found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Finding {
+    pub duty: DutyId,
+    /// Grows with each time that it is done, whoever does it.
+    pub round: u32,
+    pub by: MemberId,
+    pub weight: u8,
+    /// Since it was done, in units of 10 ms; [`OLDEST`]: that or more.
+    pub age: u16,
+    pub good: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    pub kind: Kind,
+    pub from: MemberId,
+    pub life: u64,
+    pub incarnation: u32,
+    pub number: u32,
+    pub check: u32,
+    pub member: MemberId,
+    pub flag: bool,
+    pub news: Vec<News>,
+    pub findings: Vec<Finding>,
+}
+
+/// Why bytes are no message of this fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrong {
+    /// Too short, too long, damaged, or noise.
+    Bad,
+    Version,
+    Foreign,
+}
+
+/// Decodes one field after the other; none past the end.
+struct Fields<'a>(&'a [u8]);
+
+impl Fields<'_> {
+    fn take<const N: usize>(&mut self) -> Result<[u8; N], Wrong> {
+        let (now, rest) = self.0.split_first_chunk::<N>().ok_or(Wrong::Bad)?;
+        self.0 = rest;
+        Ok(*now)
+    }
+
+    fn u8(&mut self) -> Result<u8, Wrong> {
+        self.take::<1>().map(|[byte]| byte)
+    }
+
+    fn u16(&mut self) -> Result<u16, Wrong> {
+        self.take().map(u16::from_le_bytes)
+    }
+
+    fn u32(&mut self) -> Result<u32, Wrong> {
+        self.take().map(u32::from_le_bytes)
+    }
+
+    fn u64(&mut self) -> Result<u64, Wrong> {
+        self.take().map(u64::from_le_bytes)
+    }
+
+    fn member(&mut self) -> Result<MemberId, Wrong> {
+        self.u16().map(MemberId)
+    }
+
+    fn status(&mut self) -> Result<Status, Wrong> {
+        let all = [Status::Alive, Status::Suspect, Status::Dead, Status::Left];
+        all.get(usize::from(self.u8()?)).copied().ok_or(Wrong::Bad)
+    }
+}
+
+impl Message {
+    /// Bytes of this message in a fleet.
+    pub fn encode(&self, fleet: u64) -> Vec<u8> {
+        let mut out = Vec::with_capacity(LONGEST);
+        out.extend(MAGIC);
+        out.push(VERSION);
+        out.push(self.kind as u8);
+        out.extend(fleet.to_le_bytes());
+        out.extend(self.from.0.to_le_bytes());
+        out.extend(self.life.to_le_bytes());
+        out.extend(self.incarnation.to_le_bytes());
+        out.extend(self.number.to_le_bytes());
+        out.extend(self.check.to_le_bytes());
+        out.extend(self.member.0.to_le_bytes());
+        out.push(u8::from(self.flag));
+        out.push(self.news.len() as u8);
+        for news in &self.news {
+            out.extend(news.member.0.to_le_bytes());
+            out.extend(news.life.to_le_bytes());
+            out.extend(news.incarnation.to_le_bytes());
+            out.push(news.status as u8);
+            out.extend(news.by.0.to_le_bytes());
+        }
+        out.push(self.findings.len() as u8);
+        for finding in &self.findings {
+            out.extend(finding.duty.0.to_le_bytes());
+            out.extend(finding.round.to_le_bytes());
+            out.extend(finding.by.0.to_le_bytes());
+            out.push(finding.weight);
+            out.extend((finding.age.min(OLDEST) << 1 | u16::from(finding.good)).to_le_bytes());
+        }
+        seal(fleet, &mut out);
+        out
+    }
+
+    /// The message that these bytes are, in this fleet.
+    pub fn decode(fleet: u64, bytes: &[u8]) -> Result<Message, Wrong> {
+        Self::decode_any(fleet, bytes, false)
+    }
+
+    /// As [`Message::decode`]; with `any` of whatever version, as a member without that safeguard would.
+    pub fn decode_any(fleet: u64, bytes: &[u8], any: bool) -> Result<Message, Wrong> {
+        if bytes.len() > LONGEST || bytes.len() < HEAD + 2 + CHECK {
+            return Err(Wrong::Bad);
+        }
+        let (body, check) = bytes.split_at(bytes.len() - CHECK);
+        let mut at = Fields(body);
+        if at.take()? != MAGIC {
+            return Err(Wrong::Bad);
+        }
+        let (version, kind, of) = (at.u8()?, at.u8()?, at.u64()?);
+        // Whose it is and which form it has is only known of bytes that are whole.
+        if xxh3_64_with_seed(body, of).to_le_bytes() != check {
+            return Err(Wrong::Bad);
+        }
+        if of != fleet {
+            return Err(Wrong::Foreign);
+        }
+        if version != VERSION && !any {
+            return Err(Wrong::Version);
+        }
+        let kind = *KINDS.get(usize::from(kind)).ok_or(Wrong::Bad)?;
+        let (from, life, incarnation, number) = (at.member()?, at.u64()?, at.u32()?, at.u32()?);
+        let (check, member, flag) = (at.u32()?, at.member()?, at.u8()? != 0);
+        let mut news = Vec::new();
+        for _ in 0..at.u8()? {
+            news.push(News {
+                member: at.member()?,
+                life: at.u64()?,
+                incarnation: at.u32()?,
+                status: at.status()?,
+                by: at.member()?,
+            });
+        }
+        let mut findings = Vec::new();
+        for _ in 0..at.u8()? {
+            let (duty, round, by) = (DutyId(at.u32()?), at.u32()?, at.member()?);
+            let (weight, last) = (at.u8()?, at.u16()?);
+            findings.push(Finding { duty, round, by, weight, age: last >> 1, good: last & 1 != 0 });
+        }
+        if !at.0.is_empty() {
+            return Err(Wrong::Bad);
+        }
+        Ok(Message { kind, from, life, incarnation, number, check, member, flag, news, findings })
+    }
+}
+
+/// Puts the check behind a datagram's other bytes.
+pub fn seal(fleet: u64, out: &mut Vec<u8>) {
+    out.extend(xxh3_64_with_seed(out, fleet).to_le_bytes());
+}
