A gateway waits for no disk while it serves; a fleet's driver beside it

Lists go by a keeper of their own (latest one, made durable, renamed), log lines by tracing-appender's thread (8,192 lines, dropped ones counted in the log), records by a thread with a queue of 262,144 events (lost ones are told by flush). On the platform the log goes as before. quaypath-target waited for its record in the thread that serves; it no longer does.

The fleet's thin driver (initiator/fleet.rs): datagrams, one timer, probes of nodes by an admin queue.

--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -17,23 +17,28 @@
 use async_io::Async;
 use nanorand::{Rng, WyRand};
 use quaypath::types::*;
-use quaypath_nvme::admin::{plain, Do, Group, Kind, View};
+use quaypath_nvme::admin::{plain, Do};
 use quaypath_nvme::association::Associations;
 use quaypath_nvme::command::{host_tag, opcode, Cqe, Marks, Sqe, Told};
 use quaypath_nvme::controller::{self, Controller};
 use quaypath_nvme::host::{self, Host};
 use quaypath_nvme::{status, BLOCK_SIZE};
-use quaypath_record::Clock;
+use quaypath_record::{apart::Keeper, Clock};
 use quaypath_settings::{Deployment, Mode};
 use rustix::ioctl;
 use tracing::{debug, info, warn};
 
 use crate::core::{Action, Actions, Core};
+use crate::counts::Counts;
+use crate::face::Face;
 use crate::index::Index;
 use crate::list::{Call, Known, List, News};
-use crate::net::{self, Turns};
+use crate::net;
 use crate::outcome::{outcome, Ended, Progress};
 use crate::path::{Act, Event as Went, Path};
+use crate::peer::{write_out, Stuck};
+use crate::run::Options;
+use crate::turns::{Notify, Turns};
 use crate::wheel::Wheel;
 
 /// Data asked for and not yet taken by one client connection, bytes, at which its commands are turned away.
@@ -48,40 +53,6 @@
 /// Calls to the register that wait to be written, at most; the core asks once in seconds.
 const MOST_CALLS: usize = 64;
 
-/// What an instance counted since its start.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
-pub struct Counts {
-    pub taken: u64,
-    pub turned_away: u64,
-    pub settled: u64,
-    pub declined: u64,
-    pub scrapped: u64,
-    pub lapsed: u64,
-    pub shots: u64,
-    pub further: u64,
-    /// Late answers recognised and dropped.
-    pub late_answers: u64,
-    /// Commands withdrawn from our own queue before their first byte left.
-    pub withdrawn: u64,
-    pub connects: u64,
-    pub connects_failed: u64,
-    /// Connections reset because bytes for a draining node had not left in time.
-    pub drain_resets: u64,
-    /// Associations with nodes given up for want of a sign of life.
-    pub keep_alive_lost: u64,
-    pub stalls: u64,
-    /// Calls of the kernel that read or wrote on clients' and nodes' connections.
-    pub reads: u64,
-    pub writes: u64,
-    /// Seconds of CPU spent in the core.
-    pub core_seconds: f64,
-    pub open: usize,
-    pub connections: usize,
-    /// Volumes and ordered keys that the core holds.
-    pub volumes: usize,
-    pub keys: usize,
-}
-
 /// What happens to the core, in order.
 enum Happened {
     List(ListScope, Vec<Known>),
@@ -129,31 +100,6 @@
     shot: Option<Shot>,
 }
 
-/// Since when a peer makes no progress with a PDU that it began, and does not read what it is sent. Progress
-/// starts the wait anew: a busy connection may well never be seen between two PDUs.
-#[derive(Default)]
-struct Stuck {
-    unfinished: Option<f64>,
-    unmoved: Option<f64>,
-}
-
-impl Stuck {
-    fn read(&mut self, now: f64, progress: bool, unfinished: bool) {
-        let since = self.unfinished.filter(|_| !progress).or(Some(now));
-        self.unfinished = since.filter(|_| unfinished);
-    }
-
-    fn written(&mut self, now: f64, progress: bool, waiting: bool) {
-        let since = self.unmoved.filter(|_| !progress).or(Some(now));
-        self.unmoved = since.filter(|_| waiting);
-    }
-
-    fn longer_than(&self, now: f64, wait: f64) -> bool {
-        let late = |since: Option<f64>| since.is_some_and(|since| now - since > wait);
-        late(self.unfinished) || late(self.unmoved)
-    }
-}
-
 struct Front {
     stream: Rc<Async<TcpStream>>,
     machine: Controller,
@@ -225,7 +171,7 @@
     now: f64,
     beat_at: f64,
     timers: Wheel<Timer>,
-    wake: Rc<net::Notify>,
+    wake: Rc<Notify>,
     open: BTreeMap<u64, Open>,
     next_id: u64,
     next_connection: u64,
@@ -238,16 +184,16 @@
     /// Connections with output to be written at the end of this turn.
     dirty: Vec<u64>,
     list: List,
-    list_path: std::path::PathBuf,
+    keeper: Keeper,
     pub calls: VecDeque<Call>,
-    pub calls_ready: Rc<net::Notify>,
+    pub calls_ready: Rc<Notify>,
     marks_from: u64,
     pub counts: Counts,
     executor: Weak<LocalExecutor<'static>>,
     me: Weak<RefCell<Instance>>,
 }
 
-impl net::Turns for Instance {
+impl Turns for Instance {
     /// The clock as it is, between turns.
     fn clock_now(&self) -> f64 {
         self.clock.now()
@@ -283,7 +229,9 @@
                 Timer::Stop(id, shot) => self.end_shot(id, shot, Ended::TimeUp, Told::default()),
                 Timer::Grace(node) => self.grace_over(&node),
                 Timer::Beat => {
-                    self.counts.stalls += u64::from(self.now - self.beat_at > STALL);
+                    let since = self.now - self.beat_at;
+                    self.counts.stalls += u64::from(since > STALL);
+                    self.counts.longest_stall = self.counts.longest_stall.max(since);
                     self.beat_at = self.now;
                     self.timers.set(self.now + BEAT, Timer::Beat);
                 }
@@ -297,13 +245,13 @@
         }
     }
 
-    fn wake(&self) -> Rc<net::Notify> {
+    fn wake(&self) -> Rc<Notify> {
         self.wake.clone()
     }
 }
 
 impl Instance {
-    pub fn start(options: &net::Options, executor: &Rc<LocalExecutor<'static>>) -> Rc<RefCell<Instance>> {
+    pub fn start(options: &Options, executor: &Rc<LocalExecutor<'static>>) -> Rc<RefCell<Instance>> {
         let (clock, deployment) = (Clock::default(), options.deployment.clone());
         let now = clock.now();
         let (list, told) = List::load(&options.list);
@@ -336,7 +284,9 @@
             nodes: BTreeMap::new(),
             dirty: Vec::new(),
             list,
-            list_path: options.list.clone(),
+            keeper: Keeper::start(options.list.clone(), |path, error| {
+                warn!(path = %path.display(), %error, "the node list is not kept");
+            }),
             calls: VecDeque::new(),
             calls_ready: Rc::default(),
             marks_from: options.seed.rotate_left(17) | 1 << 63,
@@ -529,6 +479,7 @@
     pub fn counted(&mut self) -> Counts {
         (self.counts.open, self.counts.connections) = (self.open.len(), self.fronts.len() + self.backs.len());
         (self.counts.volumes, self.counts.keys) = self.core.accounts();
+        self.counts.superseded = self.keeper.superseded();
         self.counts.clone()
     }
 
@@ -566,13 +517,18 @@
 
     pub fn news(&mut self, news: &News) {
         let known = self.list.take(self.now, news);
-        if let Err(error) = self.list.save(&self.list_path) {
-            warn!(path = %self.list_path.display(), %error, "the node list is not kept");
-        }
+        self.keeper.keep(self.list.bytes());
         debug!(revision = news.revision, entries = known.len(), "news of the register");
         self.events.push_back(Happened::List(ListScope::Whole, known));
     }
 
+    /// Parts of the data and the ready node of each, by the list as it is held.
+    pub fn holders(&self) -> BTreeMap<BlockId, NodeId> {
+        let ready =
+            self.list.known().into_iter().filter(|(_, _, condition, ..)| *condition == Condition::Ready);
+        ready.map(|(node, block, ..)| (block, node)).collect()
+    }
+
     /// A call failed or the connection to the register went while one may stand.
     pub fn call_failed(&mut self) {
         if self.deployment.register.mode == Mode::Asked {
@@ -1300,52 +1256,3 @@
         back_again.into_iter().rev().for_each(|one| back.queue.push_front(one));
     }
 }
-
-/// What this gateway shows its clients: volumes as namespaces, all of one group.
-struct Face<'a> {
-    deployment: &'a Deployment,
-}
-
-/// Name of the gateway as a subsystem.
-pub const SUBSYSTEM: &str = "nqn.2026-12.example.quaypath:gateway";
-
-impl View for Face<'_> {
-    fn kind(&self) -> Kind {
-        Kind::Io
-    }
-    fn subsystem(&self) -> &str {
-        SUBSYSTEM
-    }
-    fn namespaces(&self, after: u32) -> Vec<(u32, u64)> {
-        let above = self.deployment.volumes.range(after.saturating_add(1)..);
-        above.take(1024).map(|(id, volume)| (*id, volume.size)).collect()
-    }
-    fn blocks(&self, nsid: u32) -> Option<u64> {
-        self.deployment.volumes.get(&nsid).map(|volume| volume.size)
-    }
-    fn groups(&self) -> Vec<Group> {
-        vec![(1, quaypath_nvme::admin::ana::OPTIMIZED, self.deployment.volumes.keys().copied().collect())]
-    }
-    fn retry_delays(&self) -> [f64; 3] {
-        [self.deployment.core.longest_return, 0.0, 0.0]
-    }
-}
-
-/// Writes `out` from `sent` on, and counts the calls; true when all is out.
-fn write_out(
-    mut stream: &TcpStream, out: &mut Vec<u8>, sent: &mut usize, calls: &mut u64,
-) -> io::Result<bool> {
-    while *sent < out.len() {
-        *calls += 1;
-        match stream.write(&out[*sent..]) {
-            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Ok(written) => *sent += written,
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
-            Err(error) => return Err(error),
-        }
-    }
-    out.clear();
-    *sent = 0;
-    Ok(true)
-}
--- a/crates/initiator/src/lib.rs
+++ b/crates/initiator/src/lib.rs
@@ -5,14 +5,21 @@
 //! [`instance`], through the one table of [`outcome`]; what the core asks for is carried out there too.
 
 pub mod core;
+pub mod counts;
+pub mod face;
+pub mod fleet;
 pub mod index;
 pub mod instance;
 pub mod list;
 pub mod net;
 pub mod outcome;
 pub mod path;
+pub mod peer;
+pub mod queue;
 pub mod register;
+pub mod run;
+pub mod turns;
 pub mod wheel;
 
-pub use instance::Counts;
-pub use net::{run, Options};
+pub use counts::Counts;
+pub use run::{run, Options};
--- a/crates/initiator/src/list.rs
+++ b/crates/initiator/src/list.rs
@@ -71,11 +71,9 @@
         }
     }
 
-    /// Writes beside the file and renames, so that a kill leaves the old list or the new one.
-    pub fn save(&self, path: &Path) -> io::Result<()> {
-        let beside = path.with_extension("new");
-        std::fs::write(&beside, serde_json::to_vec(&self.rows)?)?;
-        std::fs::rename(&beside, path)
+    /// The list as it is kept on disk.
+    pub fn bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.rows).expect("numbers and strings have a form in JSON")
     }
 
     pub fn known(&self) -> Vec<Known> {
@@ -150,7 +148,7 @@
         list.take(50.0, &news(listed.clone()));
         list.take(51.0, &news([listed, vec![entry("gone", Condition::Gone, 1.0, 1)]].concat()));
         assert_eq!(list.known().len(), 2);
-        list.save(&path).unwrap();
+        quaypath_record::apart::replace(&path, &list.bytes()).unwrap();
         assert_eq!(List::load(&path).0.known(), list.known());
         std::fs::write(&path, b"[{\"node\":").unwrap();
         let (torn, told) = List::load(&path);
--- a/crates/initiator/src/register.rs
+++ b/crates/initiator/src/register.rs
@@ -19,7 +19,8 @@
 
 use crate::instance::Instance;
 use crate::list::{Call, Entry, News, MOST_NODES};
-use crate::net::{ask, event, open_admin, turn, within, Queue};
+use crate::queue::{ask, event, open_admin, Queue};
+use crate::turns::{turn, within};
 
 /// The well-known name of a discovery subsystem.
 pub const DISCOVERY: &str = "nqn.2014-08.org.nvmexpress.discovery";
--- /dev/null
+++ b/crates/initiator/src/run.rs
@@ -0,0 +1,66 @@
+//! One instance from its start to its end: what it is started with, and the tasks that it consists of.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::io;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use quaypath_settings::Deployment;
+use tracing::info;
+
+use crate::counts::Counts;
+use crate::fleet::{self, Fleet};
+use crate::instance::Instance;
+use crate::turns::timers;
+use crate::{net, register};
+
+/// What one instance is started with.
+#[derive(Clone)]
+pub struct Options {
+    pub deployment: Rc<Deployment>,
+    /// Its number among the initiators.
+    pub number: u32,
+    pub seed: u64,
+    /// Where the last node list is kept.
+    pub list: PathBuf,
+    /// What decides.
+    pub core: crate::core::Make,
+    /// Its place in the fleet; none where the settings say that initiators do not talk.
+    pub fleet: Option<fleet::Options>,
+}
+
+/// Runs one instance on a bound listener until `stop` is done, and gives its counts.
+pub fn run(options: &Options, listener: TcpListener, stop: impl Future<Output = ()>) -> io::Result<Counts> {
+    let listener = Async::new(listener)?;
+    let executor = Rc::new(LocalExecutor::new());
+    let instance = Instance::start(options, &executor);
+    info!(address = %listener.get_ref().local_addr()?, number = options.number, "listening");
+    executor.spawn(net::accept(Rc::downgrade(&instance), Rc::downgrade(&executor), listener)).detach();
+    executor.spawn(timers(Rc::downgrade(&instance))).detach();
+    executor.spawn(register::follow(Rc::downgrade(&instance))).detach();
+    executor.spawn(report(Rc::downgrade(&instance))).detach();
+    let fleet = options.fleet.clone().map(|options| {
+        let instance = Rc::downgrade(&instance);
+        let holders = move || instance.upgrade().map(|instance| instance.borrow().holders());
+        fleet::start(options, &executor, Box::new(holders))
+    });
+    let fleet: Option<Rc<RefCell<Fleet>>> = fleet.transpose()?;
+    async_io::block_on(executor.run(stop));
+    fleet.into_iter().for_each(|fleet| fleet.borrow_mut().leave());
+    let counts = instance.borrow_mut().counted();
+    Ok(counts)
+}
+
+async fn report(instance: Weak<RefCell<Instance>>) {
+    loop {
+        Timer::after(Duration::from_secs(10)).await;
+        let Some(instance) = instance.upgrade() else { return };
+        let counts = serde_json::to_string(&instance.borrow_mut().counted()).unwrap_or_default();
+        info!(counts, "counts");
+    }
+}
--- /dev/null
+++ b/crates/initiator/src/turns.rs
@@ -0,0 +1,182 @@
+//! Turns of one loop: its clock, its timers, waits, and reading without waiting. Knows nothing of what takes them.
+//!
+//! A turn is one task's run from the executor: the clock is read once at its start. After a time without turns
+//! the reactor wakes all that is ready; the timers' task then lets every reader have a turn first, so that an
+//! answer that had come is read before its time-out is rung. Within one socket order is kept; across sockets
+//! the kernel does not tell it.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::future::yield_now;
+use futures_lite::FutureExt;
+use tracing::warn;
+
+const READ: usize = 256 << 10;
+
+/// Wakes one waiting task of the same thread; a word said before the wait is not lost.
+#[derive(Default)]
+pub struct Notify {
+    told: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Notify {
+    pub fn tell(&self) {
+        self.told.set(true);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    pub async fn wait(&self) {
+        std::future::poll_fn(|context: &mut Context| {
+            if self.told.take() {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+/// What is not done within so many seconds has timed out.
+pub async fn within<R>(seconds: f64, done: impl Future<Output = io::Result<R>>) -> io::Result<R> {
+    let late = async {
+        Timer::after(Duration::from_secs_f64(seconds)).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    done.or(late).await
+}
+
+/// An instance that works by turns: NVMe/TCP's here, and any other way in and out on the same core.
+pub trait Turns {
+    /// Reads the clock.
+    fn begin_turn(&mut self);
+    /// Feeds the core all that happened and carries out what it asks for.
+    fn finish_turn(&mut self);
+    /// The clock as it is, between turns.
+    fn clock_now(&self) -> f64;
+    fn next_timer(&self) -> Option<f64>;
+    /// Told when the next timer has changed.
+    fn wake(&self) -> Rc<Notify>;
+    /// Takes note of all timers that are due.
+    fn ring(&mut self);
+}
+
+/// One turn: clock, what happened, core, output.
+pub fn turn<T: Turns, R>(instance: &Rc<RefCell<T>>, act: impl FnOnce(&mut T) -> R) -> R {
+    let mut this = instance.borrow_mut();
+    let before = this.next_timer();
+    this.begin_turn();
+    let result = act(&mut this);
+    this.finish_turn();
+    if this.next_timer() != before {
+        this.wake().tell();
+    }
+    result
+}
+
+/// The next connection of a listener.
+pub async fn accepted(listener: &Async<TcpListener>) -> (Rc<Async<TcpStream>>, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                return (Rc::new(stream), peer);
+            }
+            Err(error) => {
+                // Out of descriptors, most likely: without a wait this loop would take the whole thread.
+                warn!(%error, "cannot accept");
+                Timer::after(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+thread_local! {
+    /// One read buffer for all connections of the thread: it is only used within one poll.
+    static BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ]);
+}
+
+/// What a read brought.
+pub enum Came<R> {
+    /// What was made of the bytes.
+    Bytes(R),
+    /// The peer sends no more.
+    End,
+}
+
+/// Hands what is there to `take`, without waiting; none where nothing is.
+pub fn read_now<R>(mut stream: &TcpStream, take: impl FnOnce(&[u8]) -> R) -> io::Result<Option<Came<R>>> {
+    BUFFER.with_borrow_mut(|buffer| match stream.read(buffer) {
+        Ok(0) => Ok(Some(Came::End)),
+        Ok(count) => Ok(Some(Came::Bytes(take(&buffer[..count])))),
+        Err(error) => match error.kind() {
+            io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted => Ok(None),
+            _ => Err(error),
+        },
+    })
+}
+
+/// Waits for bytes and hands them to `take`.
+pub async fn read_some<R>(
+    stream: &Async<TcpStream>, mut take: impl FnMut(&[u8]) -> R,
+) -> io::Result<Came<R>> {
+    loop {
+        match read_now(stream.get_ref(), &mut take)? {
+            Some(came) => return Ok(came),
+            None => stream.readable().await?,
+        }
+    }
+}
+
+/// How late a timer may be before the sockets are looked at once more, seconds.
+const LATE: f64 = 0.005;
+
+/// Rings the timers of an instance for as long as it lives.
+pub async fn timers<T: Turns>(instance: Weak<RefCell<T>>) {
+    loop {
+        let (due, wait, wake) = {
+            let Some(this) = instance.upgrade() else { return };
+            let this = this.borrow();
+            let (due, now) = (this.next_timer(), this.clock_now());
+            (due, due.map(|at| Duration::from_secs_f64((at - now).clamp(0.0, 3600.0))), this.wake())
+        };
+        match wait {
+            Some(wait) if wait.is_zero() => {}
+            Some(wait) => {
+                let timer = async {
+                    Timer::after(wait).await;
+                };
+                timer.or(wake.wait()).await;
+            }
+            None => wake.wait().await,
+        }
+        // The process may have stood still between the reactor's last look at the sockets and now: what came
+        // meanwhile is only seen by another look, and goes before what is late by the same standstill.
+        let mut since = due.filter(|at| at.is_finite());
+        while let Some(at) = since {
+            let Some(this) = instance.upgrade() else { return };
+            let now = this.borrow().clock_now();
+            drop(this);
+            if now - at <= LATE {
+                break;
+            }
+            Timer::after(Duration::from_micros(300)).await;
+            since = Some(now);
+        }
+        // All that the reactor woke together with us goes first, answers among it.
+        yield_now().await;
+        yield_now().await;
+        let Some(this) = instance.upgrade() else { return };
+        turn(&this, T::ring);
+    }
+}
--- a/crates/platform/src/back.rs
+++ b/crates/platform/src/back.rs
@@ -12,8 +12,8 @@
 use futures_lite::FutureExt;
 use quaypath::ring::Ring;
 use quaypath_http::{Part, Refused, ResponseDecoder, ResponseHead};
-use quaypath_initiator::net::{read_now, read_some, turn, within, Came, Turns};
 use quaypath_initiator::outcome::Progress;
+use quaypath_initiator::turns::{read_now, read_some, turn, within, Came, Turns};
 
 use crate::decode::{self, Told};
 use crate::front::Answer;
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -7,7 +7,7 @@
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
 use quaypath_http::{Part, ResponseDecoder};
-use quaypath_initiator::net::{read_some, turn, within, Came};
+use quaypath_initiator::turns::{read_some, turn, within, Came};
 use serde::Deserialize;
 use tracing::{debug, info, warn};
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -11,7 +11,7 @@
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use quaypath_http::{error, response, Request, RequestDecoder, MOST_HEAD};
-use quaypath_initiator::net::{read_now, read_some, turn, within, Came, Notify, Turns};
+use quaypath_initiator::turns::{read_now, read_some, turn, within, Came, Notify, Turns};
 
 use crate::instance::{Held, Shared, Stop, Weakly};
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,7 +21,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
-use quaypath_initiator::net::{accepted, timers, turn, Notify};
+use quaypath_initiator::turns::{accepted, timers, turn, Notify};
 use socket2::{Domain, Protocol, Socket, Type};
 use tracing::{info, warn};
 
--- a/crates/programs/src/bin/gateway.rs
+++ b/crates/programs/src/bin/gateway.rs
@@ -1,15 +1,24 @@
 //! `quaypath-gateway`: one initiator on sockets, over NVMe/TCP or in service on the platform.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
+use async_signal::{Signal, Signals};
 use clap::Parser;
+use futures_lite::{FutureExt, StreamExt};
+use quaypath_fleet::figures::{Figures, Row};
+use quaypath_fleet::{message, MemberId};
+use quaypath_initiator::fleet::{self, Skew};
 use quaypath_initiator::{core, run, Options};
 use quaypath_platform::Config;
 use quaypath_programs::{exit, say, Logs};
+use quaypath_record::{apart, Clock};
+use quaypath_settings::{Deployment, Talk};
 
 /// Takes transactions of clients over NVMe/TCP, or the platform's HTTP, and schedules them over the storage nodes.
 #[derive(Parser)]
@@ -19,7 +28,7 @@
 )]
 struct Arguments {
     /// Serve on the platform, by the configuration that BALANCER_CONFIG names
-    #[arg(long, conflicts_with_all = ["settings", "listen", "register", "number", "seed", "list", "careless"])]
+    #[arg(long, conflicts_with_all = ["settings", "listen", "register", "number", "seed", "list", "careless", "fleet_listen", "member"])]
     platform: bool,
     /// Deployment, XML by quaypath.xsd
     #[arg(long, required_unless_present = "platform")]
@@ -42,18 +51,53 @@
     /// Stop when standard input ends, and print the counts on standard output
     #[arg(long)]
     until_stdin_closes: bool,
-    /// Run the careless baseline in place of the decision core: keeps no rule, for comparison only
+    /// Run the careless baselines in place of the cores: keep no rule and no promise, for comparison only
     #[arg(long)]
     careless: bool,
+    /// Address to take the fleet's datagrams on, in place of this number's in the settings
+    #[arg(long)]
+    fleet_listen: Option<SocketAddr>,
+    /// Where a member of the fleet takes datagrams, in place of the settings': NUMBER=ADDRESS
+    #[arg(long, value_parser = member)]
+    member: Vec<(u16, SocketAddr)>,
     #[command(flatten)]
     logs: Logs,
 }
 
-/// Done when standard input ends; read on a thread, as it may be a file or a terminal.
-async fn stdin_ends() {
+fn member(word: &str) -> Result<(u16, SocketAddr), String> {
+    let pair = word
+        .split_once('=')
+        .and_then(|(number, address)| Some((number.parse().ok()?, address.parse().ok()?)));
+    pair.ok_or_else(|| "a number and an address, as 3=127.0.0.1:7300".into())
+}
+
+/// A line of a day's script on standard input: `disk SECONDS` for which it takes nothing, `clock RATE STEP` of the
+/// fleet's driver.
+fn scripted(line: &str, skew: &Skew) -> Result<(), String> {
+    let number = |word: &str, most: f64| {
+        let number = word.parse::<f64>().ok().filter(|number| (0.0..=most).contains(number));
+        number.ok_or(format!("'{word}' is not a number from 0 to {most}"))
+    };
+    match line.split_whitespace().collect::<Vec<_>>()[..] {
+        ["disk", seconds] => apart::stand_still(Duration::from_secs_f64(number(seconds, 3600.0)?)),
+        ["clock", rate, step] => {
+            skew.set(Clock::default().now(), number(rate, 10.0)?, number(step, 86400.0)?)
+        }
+        [] => {}
+        _ => return Err(format!("'{line}' is neither 'disk SECONDS' nor 'clock RATE STEP'")),
+    }
+    Ok(())
+}
+
+/// Done when standard input ends; read on a thread, as it may be a file or a terminal. Its lines are a day's script.
+async fn stdin_ends(skew: Skew) {
     let (ours, theirs) = std::os::unix::net::UnixStream::pair().expect("a pair of sockets");
     std::thread::spawn(move || {
-        let _ = std::io::stdin().read_to_end(&mut Vec::new());
+        for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+            if let Err(what) = scripted(&line, &skew) {
+                eprintln!("quaypath-gateway: standard input: {what}");
+            }
+        }
         drop(theirs);
     });
     if let Ok(ours) = async_io::Async::new(ours) {
@@ -72,8 +116,62 @@
     Ok(true)
 }
 
+/// This number's place in the fleet, on a socket that is bound.
+fn talk(
+    arguments: &Arguments, deployment: &Deployment, of: &Talk, seed: u64,
+) -> Result<fleet::Options, String> {
+    let number = arguments.number as u16;
+    let own = of.member.iter().find(|member| member.number == number).ok_or_else(|| {
+        format!("--number {number}: not a member of the fleet '{}' (settings, fleet, member)", of.name)
+    })?;
+    let mut addresses = BTreeMap::new();
+    for member in &of.member {
+        let given = arguments.member.iter().find(|(number, _)| *number == member.number);
+        let address = match given {
+            Some((_, address)) => *address,
+            // Checked when the settings were loaded.
+            None => {
+                member.address.parse().map_err(|_| format!("fleet, member {}: address", member.number))?
+            }
+        };
+        addresses.insert(MemberId(member.number), address);
+    }
+    if let Some((stranger, _)) =
+        arguments.member.iter().find(|(number, _)| !addresses.contains_key(&MemberId(*number)))
+    {
+        return Err(format!("--member {stranger}: not a member of the fleet '{}'", of.name));
+    }
+    let listen = match arguments.fleet_listen {
+        Some(address) => address,
+        None => own.address.parse().map_err(|_| format!("fleet, member {number}: address"))?,
+    };
+    let socket = UdpSocket::bind(listen).map_err(|error| format!("fleet: listen on {listen}: {error}"))?;
+    let row =
+        |member: &quaypath_settings::Member| Row { member: MemberId(member.number), weight: member.weight };
+    Ok(fleet::Options {
+        socket: Rc::new(socket),
+        addresses,
+        figures: Figures {
+            me: MemberId(number),
+            fleet: message::fleet(&of.name),
+            members: of.member.iter().map(row).collect(),
+            period: of.period,
+            wait: of.wait,
+            helpers: usize::from(of.helpers),
+            every: of.probe_every,
+            window: of.window,
+            without: None,
+        },
+        seed,
+        name: format!("nqn.2026-12.example.quaypath:initiator:{number}"),
+        patience: deployment.connections.connect,
+        plain: arguments.careless,
+        skew: Skew::default(),
+    })
+}
+
 fn start(arguments: Arguments) -> Result<bool, String> {
-    let (settings, list) = match (arguments.settings, arguments.list) {
+    let (settings, list) = match (arguments.settings.clone(), arguments.list.clone()) {
         (Some(settings), Some(list)) if !arguments.platform => (settings, list),
         _ => return serve(),
     };
@@ -92,23 +190,49 @@
     let listener = TcpListener::bind(&listen).map_err(|error| format!("listen on {listen}: {error}"))?;
     let address = listener.local_addr().map_err(|error| error.to_string())?;
     let nanos = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let seed = arguments.seed.unwrap_or(nanos.map_or(1, |since| since.as_nanos() as u64));
+    let fleet = match &deployment.fleet {
+        Some(of) => Some(talk(&arguments, &deployment, of, seed)?),
+        None if arguments.fleet_listen.is_some() || !arguments.member.is_empty() => {
+            return Err("--fleet-listen, --member: the settings have no fleet".into());
+        }
+        None => None,
+    };
     let options = Options {
         deployment: Rc::new(deployment),
         number: arguments.number,
-        seed: arguments.seed.unwrap_or(nanos.map_or(1, |since| since.as_nanos() as u64)),
+        seed,
         list,
         core: if arguments.careless { core::careless } else { core::brain },
+        fleet,
     };
     say!("listening {address}");
+    if let Some(fleet) = &options.fleet {
+        let address = fleet.socket.local_addr().map_err(|error| error.to_string())?;
+        say!("fleet {address}");
+    }
     let _ = std::io::stdout().flush();
     let until = arguments.until_stdin_closes;
+    let skew = options.fleet.as_ref().map_or_else(Skew::default, |fleet| fleet.skew.clone());
+    let mut terms = match &options.fleet {
+        Some(_) => Some(Signals::new([Signal::Term]).map_err(|error| format!("SIGTERM: {error}"))?),
+        None => None,
+    };
+    let term = async move {
+        match &mut terms {
+            Some(terms) => drop(terms.next().await),
+            None => std::future::pending().await,
+        }
+    };
     let stop = async move {
         if until {
-            stdin_ends().await;
+            stdin_ends(skew).await;
         } else {
             std::future::pending::<()>().await;
         }
     };
+    // A member of a fleet leaves it in order at SIGTERM.
+    let stop = stop.or(term);
     let counts = run(&options, listener, stop).map_err(|error| error.to_string())?;
     if until {
         say!("{}", serde_json::to_string(&counts).map_err(|error| error.to_string())?);
@@ -118,6 +242,12 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    arguments.logs.start();
+    // On the platform the log goes as it always has; elsewhere nothing that serves waits for it.
+    let _logs = if arguments.platform {
+        arguments.logs.start();
+        None
+    } else {
+        Some(arguments.logs.start_apart())
+    };
     exit("quaypath-gateway", start(arguments))
 }
--- a/crates/programs/src/bin/nvme.rs
+++ b/crates/programs/src/bin/nvme.rs
@@ -6,8 +6,9 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use quaypath_initiator::net::{ask, open_admin, open_queue, within, Queue};
+use quaypath_initiator::queue::{ask, open_admin, open_queue, Queue};
 use quaypath_initiator::register::DISCOVERY;
+use quaypath_initiator::turns::within;
 use quaypath_nvme::admin::{
     access_groups, ana, discovery_header, discovery_record, get_log, identify, log, namespace_list,
     namespace_size, property, property_get, property_set, CC_SHUT_DOWN,
--- a/crates/programs/src/bin/register.rs
+++ b/crates/programs/src/bin/register.rs
@@ -100,6 +100,6 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    arguments.logs.start();
+    let _logs = arguments.logs.start_apart();
     exit("quaypath-register", start(arguments))
 }
--- a/crates/programs/src/bin/target.rs
+++ b/crates/programs/src/bin/target.rs
@@ -137,19 +137,19 @@
     let (writer, faults) = (record.clone(), Arc::new(std::sync::Mutex::new(Faults::default())));
     let scripted = faults.clone();
     std::thread::spawn(move || script(&scripted));
-    Running::here(move |executor| spawn(executor, options, listener, record, faults), async move {
-        loop {
-            async_io::Timer::after(std::time::Duration::from_millis(500)).await;
-            if let Err(error) = writer.flush() {
-                tracing::error!(%error, "the record loses lines");
-            }
+    // A thread of its own waits for the disk, not the one that serves.
+    std::thread::spawn(move || loop {
+        std::thread::sleep(std::time::Duration::from_millis(500));
+        if let Err(error) = writer.flush() {
+            tracing::error!(%error, "the record loses lines");
         }
     });
+    Running::here(move |executor| spawn(executor, options, listener, record, faults), std::future::pending());
     Ok(true)
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    arguments.logs.start();
+    let _logs = arguments.logs.start_apart();
     exit("quaypath-target", start(arguments))
 }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -4,9 +4,13 @@
 //! Times are seconds on the clock of [`Clock`], which all writers on one machine share to within microseconds.
 //! Each time is taken when the bytes were read or written, so it carries that program's own delay.
 
+pub mod apart;
+
 use std::fs::File;
 use std::io::{BufRead, BufReader, BufWriter, Read, Write};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{self, Receiver, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -159,6 +163,41 @@
         on: String,
         begins: bool,
     },
+    /// A scripted fault of links began or ended; the gateways at both ends, nodes and register left out.
+    Link {
+        t: f64,
+        kind: String,
+        from: Vec<u32>,
+        to: Vec<u32>,
+        size: f64,
+        begins: bool,
+    },
+    /// A target was asked by a gateway how it does.
+    Probed {
+        t: f64,
+        node: String,
+        gateway: u32,
+    },
+    /// A datagram on its way from a member of the fleet told what it holds of others. `process` tells two of one
+    /// number apart.
+    View {
+        t: f64,
+        gateway: u32,
+        process: u32,
+        life: u64,
+        live: Vec<u32>,
+        dead: Vec<u32>,
+    },
+    /// What one process sent to others of the fleet since the last such line of it, a second ago or more.
+    Talked {
+        t: f64,
+        gateway: u32,
+        process: u32,
+        seconds: f64,
+        datagrams: u64,
+        bytes: u64,
+        longest: u64,
+    },
 }
 
 impl Event {
@@ -179,7 +218,11 @@
             | Event::Lists { t, .. }
             | Event::Started { t, .. }
             | Event::Killed { t, .. }
-            | Event::Fault { t, .. } => *t,
+            | Event::Fault { t, .. }
+            | Event::Link { t, .. }
+            | Event::Probed { t, .. }
+            | Event::View { t, .. }
+            | Event::Talked { t, .. } => *t,
         }
     }
 }
@@ -209,47 +252,83 @@
 pub enum Error {
     #[error("{path}: {source}")]
     Io { path: PathBuf, source: std::io::Error },
+    #[error("{path}: {lost} events were lost: more than {MOST_WAITING} waited for the disk")]
+    Lost { path: PathBuf, lost: u64 },
     #[error("{path}, line {line}: not an event of the record: {what}")]
     Line { path: PathBuf, line: usize, what: String },
 }
 
-/// Writes events; shared by the threads of one program. Without a file it keeps them in memory.
+/// Events that wait for the disk at most; beyond them lines are lost, counted and told by [`Writer::flush`].
+const MOST_WAITING: usize = 1 << 18;
+
+/// Writes events; shared by the threads of one program, none of which waits for a disk: a file is written by a thread
+/// of its own. Without a file events are kept in memory.
 #[derive(Clone)]
 pub struct Writer {
     pub clock: Clock,
-    sink: Arc<Mutex<Sink>>,
+    sink: Arc<Sink>,
 }
 
 enum Sink {
     None,
-    Memory(Vec<Event>),
-    File { path: PathBuf, file: BufWriter<File>, failed: Option<std::io::Error> },
+    Memory(Mutex<Vec<Event>>),
+    File { path: PathBuf, queue: SyncSender<Note>, lost: AtomicU64 },
+}
+
+/// What the writing thread is given.
+enum Note {
+    Event(Event),
+    /// Answered when all before it is on its way to the disk.
+    Flush(mpsc::Sender<std::io::Result<()>>),
+}
+
+/// Writes what comes until nobody is left to send; the first failure is told at the next flush.
+fn write_out(mut file: BufWriter<apart::Passing<File>>, queue: &Receiver<Note>) {
+    let mut failed = None;
+    for note in queue {
+        match note {
+            Note::Event(event) => {
+                let done = serde_json::to_writer(&mut file, &event).map_err(std::io::Error::from);
+                if let Err(error) = done.and_then(|()| file.write_all(b"\n")) {
+                    failed.get_or_insert(error);
+                }
+            }
+            Note::Flush(answer) => {
+                let _ = answer.send(failed.take().map_or_else(|| file.flush(), Err));
+            }
+        }
+    }
 }
 
 impl Writer {
     /// Keeps nothing.
     pub fn none() -> Self {
-        Writer { clock: Clock::default(), sink: Arc::new(Mutex::new(Sink::None)) }
+        Writer { clock: Clock::default(), sink: Arc::new(Sink::None) }
     }
 
     pub fn memory(clock: Clock) -> Self {
-        Writer { clock, sink: Arc::new(Mutex::new(Sink::Memory(Vec::new()))) }
+        Writer { clock, sink: Arc::new(Sink::Memory(Mutex::default())) }
     }
 
     pub fn file(path: &Path, clock: Clock) -> Result<Self, Error> {
-        let file = File::create(path).map_err(|source| Error::Io { path: path.into(), source })?;
-        let sink = Sink::File { path: path.into(), file: BufWriter::new(file), failed: None };
-        Ok(Writer { clock, sink: Arc::new(Mutex::new(sink)) })
+        let io = |source| Error::Io { path: path.into(), source };
+        let file = BufWriter::new(apart::Passing(File::create(path).map_err(io)?));
+        let (queue, notes) = mpsc::sync_channel(MOST_WAITING);
+        let thread = std::thread::Builder::new().name("record".into());
+        thread.spawn(move || write_out(file, &notes)).map_err(io)?;
+        let sink = Sink::File { path: path.into(), queue, lost: AtomicU64::new(0) };
+        Ok(Writer { clock, sink: Arc::new(sink) })
     }
 
     pub fn put(&self, event: Event) {
-        match &mut *self.sink.lock().unwrap() {
+        match &*self.sink {
             Sink::None => {}
-            Sink::Memory(events) => events.push(event),
-            Sink::File { file, failed, .. } => {
-                let done = serde_json::to_writer(&mut *file, &event).map_err(std::io::Error::from);
-                if let Err(error) = done.and_then(|()| file.write_all(b"\n")) {
-                    failed.get_or_insert(error);
+            Sink::Memory(events) => events.lock().unwrap().push(event),
+            Sink::File { queue, lost, .. } => {
+                if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
+                    queue.try_send(Note::Event(event))
+                {
+                    lost.fetch_add(1, Ordering::Relaxed);
                 }
             }
         }
@@ -257,22 +336,25 @@
 
     /// What memory holds, in order of time; empty for a file.
     pub fn taken(&self) -> Vec<Event> {
-        let mut events = match &mut *self.sink.lock().unwrap() {
-            Sink::Memory(events) => std::mem::take(events),
+        let mut events = match &*self.sink {
+            Sink::Memory(events) => std::mem::take(&mut *events.lock().unwrap()),
             Sink::None | Sink::File { .. } => Vec::new(),
         };
         sort(&mut events);
         events
     }
 
-    /// Writes what is buffered, and tells if any line was lost.
+    /// Waits until all that was put is written, and tells if any line was lost. Not for a thread that serves.
     pub fn flush(&self) -> Result<(), Error> {
-        match &mut *self.sink.lock().unwrap() {
-            Sink::None | Sink::Memory(_) => Ok(()),
-            Sink::File { path, file, failed } => match failed.take().map_or_else(|| file.flush(), Err) {
-                Ok(()) => Ok(()),
-                Err(source) => Err(Error::Io { path: path.clone(), source }),
-            },
+        let Sink::File { path, queue, lost } = &*self.sink else { return Ok(()) };
+        let (answer, answered) = mpsc::channel();
+        let gone = || std::io::Error::other("the writing thread ended");
+        let sent = queue.send(Note::Flush(answer)).map_err(|_| gone());
+        let done = sent.and_then(|()| answered.recv().map_err(|_| gone())?);
+        done.map_err(|source| Error::Io { path: path.clone(), source })?;
+        match lost.load(Ordering::Relaxed) {
+            0 => Ok(()),
+            lost => Err(Error::Lost { path: path.clone(), lost }),
         }
     }
 }
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -4,6 +4,8 @@
 //! Both ends take their times when they read or wrote, so two events of different programs can be out of order
 //! by up to [`Book::transit`]; every rule gives that much, and no more.
 
+pub mod fleet;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt;
 
@@ -306,6 +308,8 @@
                     *count += u32::from(*begins);
                 }
             }
+            // The fleet's promises are judged apart.
+            Event::Link { .. } | Event::Probed { .. } | Event::View { .. } | Event::Talked { .. } => {}
         }
     }
 
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -175,6 +175,47 @@
     extent_blocks: u64,
 }
 
+fn one_weight() -> u8 {
+    1
+}
+
+/// A process of the fleet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Member {
+    /// Number of its initiator.
+    #[serde(rename = "@number")]
+    pub number: u16,
+    /// Where it takes datagrams.
+    #[serde(rename = "@address")]
+    pub address: String,
+    /// Part of the shared duties, relative to others.
+    #[serde(rename = "@weight", default = "one_weight")]
+    pub weight: u8,
+}
+
+/// How the initiators talk; times in seconds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Talk {
+    /// Told apart from other fleets by it.
+    #[serde(rename = "@name")]
+    pub name: String,
+    /// One check of another member a period.
+    #[serde(rename = "@period")]
+    pub period: f64,
+    /// How long a check waits before others are asked.
+    #[serde(rename = "@wait")]
+    pub wait: f64,
+    #[serde(rename = "@helpers")]
+    pub helpers: u16,
+    /// How often each node is probed, by one member.
+    #[serde(rename = "@probe-every")]
+    pub probe_every: f64,
+    /// How long two members may both probe one node after a change.
+    #[serde(rename = "@window")]
+    pub window: f64,
+    pub member: Vec<Member>,
+}
+
 #[derive(Clone, PartialEq, Serialize, Deserialize)]
 struct BandForm {
     #[serde(rename = "@name")]
@@ -250,6 +291,8 @@
     rules: RulesForm,
     units: UnitsForm,
     layout: LayoutForm,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    fleet: Option<Talk>,
     band: Vec<BandForm>,
     plan: Vec<PlanForm>,
     #[serde(rename = "band-rule", default)]
@@ -314,6 +357,8 @@
     pub band_rules: Vec<BandRule>,
     /// By volume, then by range; none overlap.
     pub placements: Vec<Placement>,
+    /// Absent: initiators do not talk.
+    pub fleet: Option<Talk>,
 }
 
 impl Deployment {
@@ -471,7 +516,40 @@
     Ok(all)
 }
 
+fn talk(talk: &Talk, initiators: u32) -> Result<(), Bad> {
+    for (place, value) in [("period", talk.period), ("wait", talk.wait), ("probe-every", talk.probe_every)] {
+        positive(&format!("fleet, {place}"), value)?;
+    }
+    if talk.wait >= talk.period {
+        return bad("fleet, wait", talk.wait, format!("below the period, {} s", talk.period));
+    }
+    if talk.window < talk.probe_every {
+        let rule = format!("{} s (probe-every) or more: what one does is seen by then", talk.probe_every);
+        return bad("fleet, window", talk.window, rule);
+    }
+    let (mut numbers, mut addresses) = (BTreeMap::new(), BTreeMap::new());
+    for member in &talk.member {
+        let at = format!("fleet, member {}", member.number);
+        if u32::from(member.number) >= initiators {
+            return bad(at, member.number, format!("below the layout's {initiators} initiators"));
+        }
+        if member.weight == 0 {
+            return bad(at, "weight 0", "1 or more");
+        }
+        let Ok(address) = member.address.parse::<std::net::SocketAddr>() else {
+            return bad(at, &member.address, "an address and port");
+        };
+        if numbers.insert(member.number, ()).is_some() || addresses.insert(address, ()).is_some() {
+            return bad(at, "number or address twice", "each once");
+        }
+    }
+    Ok(())
+}
+
 pub(crate) fn decode(form: Form) -> Result<Deployment, Bad> {
+    if let Some(form_of_talk) = &form.fleet {
+        talk(form_of_talk, form.layout.initiators)?;
+    }
     unique("band", form.band.iter().map(|band| &band.name))?;
     unique("plan", form.plan.iter().map(|plan| &plan.name))?;
     let (allow, figures) = (&form.allow, &form.rules);
@@ -600,5 +678,6 @@
         volumes,
         band_rules,
         placements,
+        fleet: form.fleet,
     })
 }
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -10,8 +10,9 @@
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use quaypath_initiator::instance::SUBSYSTEM;
-use quaypath_initiator::net::{open_admin, open_queue, within, Notify};
+use quaypath_initiator::face::SUBSYSTEM;
+use quaypath_initiator::queue::{open_admin, open_queue};
+use quaypath_initiator::turns::{within, Notify};
 use quaypath_initiator::wheel::Wheel;
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe};
 use quaypath_nvme::host::{Event, Host, Offer};
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -11,7 +11,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use quaypath_initiator::net::Notify;
+use quaypath_initiator::turns::Notify;
 use quaypath_nvme::admin::{ana, Do, Group, Kind, View};
 use quaypath_nvme::association::Associations;
 use quaypath_nvme::command::{opcode, Cqe, Marks, Sqe, Told};
@@ -468,6 +468,10 @@
 
     fn admin(&mut self, number: u64, sqe: &Sqe) {
         let now = self.now();
+        if sqe.opcode == opcode::GET_LOG_PAGE {
+            let gateway = self.connections.get(&number).map_or(0, |connection| connection.gateway);
+            self.record.put(Line::Probed { t: now, node: self.name.clone(), gateway });
+        }
         let view = Face { options: &self.options, name: &self.name };
         match self.associations.command(now, number, sqe, &view) {
             Some(Do::Respond(cqe, data)) => self.respond(number, cqe, &data),
