--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod plan;
 pub mod report;
 pub mod run;
+pub mod told;
--- a/crates/day/src/plan.rs
+++ b/crates/day/src/plan.rs
@@ -1,6 +1,8 @@
 //! What a day will bring, planned ahead: the same for the same file whatever the timing.
 
-use quaypath_settings::{Day, Deployment, FaultKind, Surge};
+use std::collections::BTreeSet;
+
+use quaypath_settings::{Day, Deployment, FaultKind, Party, Surge};
 use quaypath_standins::client::Ask;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
@@ -133,10 +135,38 @@
         size: f64,
         begins: bool,
     },
+    /// What a gateway kept on disk is gone.
+    ForgetGateway {
+        number: u32,
+    },
+    /// A second process under a gateway's number starts, or is killed.
+    Twin {
+        number: u32,
+        begins: bool,
+    },
+    /// The clock of a gateway's fleet driver runs at this rate from now on, after a step forward.
+    Clock {
+        number: u32,
+        rate: f64,
+        step: f64,
+        begins: bool,
+    },
+    /// A gateway's writes and renames stand still.
+    Disk {
+        number: u32,
+        lasts: f64,
+    },
+    Link {
+        kind: FaultKind,
+        from: BTreeSet<Party>,
+        to: BTreeSet<Party>,
+        size: f64,
+        begins: bool,
+    },
 }
 
 /// The day's troubles in order of time, drawn by its seed.
-pub fn script(day: &Day) -> Vec<(f64, Act)> {
+pub fn script(day: &Day, deployment: &Deployment) -> Vec<(f64, Act)> {
     let mut chance = SmallRng::seed_from_u64(day.seed ^ 0x5eed);
     let mut acts = Vec::new();
     let mut pick = |count: u32, part: f64, one: Option<u32>| -> Vec<u32> {
@@ -172,6 +202,45 @@
                     }
                 }
             }
+            kind if kind.of_links() => {
+                // Checked when the day was loaded.
+                let Ok((from, to)) = day.ends(deployment, fault) else { continue };
+                let link = |begins| Act::Link { kind, from: from.clone(), to: to.clone(), size, begins };
+                acts.push((at, link(true)));
+                acts.push((ends, link(false)));
+            }
+            FaultKind::Stop => {
+                for number in pick(day.fleet.gateways, fault.part, fault.node) {
+                    acts.push((at, Act::StopGateway { number }));
+                    acts.push((ends, Act::ContinueGateway { number }));
+                }
+            }
+            FaultKind::Forget => {
+                for number in pick(day.fleet.gateways, fault.part, fault.node) {
+                    acts.push((at, Act::KillGateway { number }));
+                    acts.push((at, Act::ForgetGateway { number }));
+                    acts.push((at + fault.returns, Act::StartGateway { number }));
+                }
+            }
+            FaultKind::Twins => {
+                for number in pick(day.fleet.gateways, fault.part, fault.node) {
+                    acts.push((at, Act::Twin { number, begins: true }));
+                    acts.push((ends, Act::Twin { number, begins: false }));
+                }
+            }
+            FaultKind::Clock | FaultKind::ClockStep => {
+                let steps = kind == FaultKind::ClockStep;
+                let (rate, step) = if steps { (1.0, size) } else { (size, 0.0) };
+                for number in pick(day.fleet.gateways, fault.part, fault.node) {
+                    acts.push((at, Act::Clock { number, rate, step, begins: true }));
+                    acts.push((ends, Act::Clock { number, rate: 1.0, step: 0.0, begins: false }));
+                }
+            }
+            FaultKind::DiskStands => {
+                for number in pick(day.fleet.gateways, fault.part, fault.node) {
+                    acts.push((at, Act::Disk { number, lasts: fault.lasts }));
+                }
+            }
             FaultKind::KillInitiators => {
                 let picked = pick(day.fleet.gateways, fault.part, fault.node);
                 // Spread over the span, so that some are back before others go.
@@ -226,7 +295,8 @@
 }
 
 /// A day of the same fleet and traffic, with troubles drawn by a seed: three to six, overlapping, of every kind.
-pub fn storm(day: &Day, seed: u64, lasts: f64) -> Day {
+/// Where initiators talk, links and processes of the fleet get their own.
+pub fn storm(day: &Day, talks: bool, seed: u64, lasts: f64) -> Day {
     use FaultKind::*;
     let mut chance = SmallRng::seed_from_u64(seed ^ 0x0057_0123);
     let kinds = [
@@ -249,6 +319,12 @@
         SameAddress,
     ];
     let mut fault = Vec::new();
+    let talks = if talks {
+        &[Stop, Forget, Cut, OneWay, Hole, Delay, Lose, Repeat, Reorder, Garble][..]
+    } else {
+        &[]
+    };
+    let kinds: Vec<_> = kinds.iter().chain(talks).chain(talks).copied().collect();
     for _ in 0..chance.random_range(3..=6) {
         let kind = kinds[chance.random_range(0..kinds.len())];
         let at = chance.random_range(0.3..0.5 * lasts);
@@ -264,14 +340,28 @@
             HeavyTail => chance.random_range(0.01..0.1),
             Neighbour => chance.random_range(0.3..0.75),
             Rogue => chance.random_range(0.002..0.05),
+            Delay => chance.random_range(0.002..0.08),
+            Lose | Repeat | Reorder => chance.random_range(0.05..0.3),
+            Garble => chance.random_range(0.01..0.1),
             _ => 0.0,
         };
+        // A side of some gateways against the others; datagrams only, as the nodes' links are their own faults'.
+        let side = chance.random_range(1..day.fleet.gateways.max(2));
+        let (from, to) = match kind {
+            kind if !kind.of_links() => (String::new(), String::new()),
+            Cut | OneWay | Hole => {
+                (format!("0-{}", side - 1), format!("{side}-{}", day.fleet.gateways.max(2) - 1))
+            }
+            _ => ("gateways".into(), "gateways".into()),
+        };
         fault.push(quaypath_settings::Fault {
             kind,
             at,
             lasts: if kind == Replace { 0.0 } else { rest * chance.random_range(0.2..0.8) },
-            part: chance.random_range(0.1..0.5),
+            part: if kind.of_links() { 0.0 } else { chance.random_range(0.1..0.5) },
             node: None,
+            from,
+            to,
             size,
             waves: chance.random_range(1..4),
             returns: chance.random_range(0.3..0.3 * lasts),
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -6,10 +6,12 @@
 use comfy_table::{presets, CellAlignment, Table};
 use hdrhistogram::Histogram;
 use quaypath_record::{End, Event};
-use quaypath_rules::{judge, Breach};
+use quaypath_rules::{fleet, judge, Breach};
 use quaypath_settings::Deployment;
 use serde::Serialize;
 
+use crate::told::{self, Told};
+
 /// Counts of a band or a plan, all from the clients' and targets' side of the sockets.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Row {
@@ -36,6 +38,9 @@
     pub plans: Vec<Row>,
     pub all: Row,
     pub breaches: Vec<Breach>,
+    /// Breaches of the fleet's promises, and what its members told each other, where initiators talk.
+    pub promises: Vec<fleet::Breach>,
+    pub told: Option<Told>,
 }
 
 fn histogram() -> Histogram<u64> {
@@ -119,6 +124,8 @@
         plans: plans.into_iter().map(Sum::done).collect(),
         all: all.done(),
         breaches: judge(&book, events),
+        promises: told::book(deployment, transit).map_or(Vec::new(), |book| fleet::judge(&book, events)),
+        told: deployment.fleet.as_ref().map(|_| told::told(events)),
     }
 }
 
@@ -131,7 +138,7 @@
 
 impl Report {
     pub fn kept(&self) -> bool {
-        self.breaches.is_empty()
+        self.breaches.is_empty() && self.promises.is_empty()
     }
 
     pub fn table(&self) -> String {
@@ -166,7 +173,16 @@
             text += &format!("rule {rule} broken {} times\n", breaches.len());
             breaches.iter().take(3).for_each(|breach| text += &format!("  {breach}\n"));
         }
-        let rules: Vec<String> = by_rule.keys().map(u8::to_string).collect();
-        text + &format!("broken: rules {}", rules.join(", "))
+        let mut broken: Vec<String> = by_rule.keys().map(|rule| format!("rule {rule}")).collect();
+        for promise in fleet::Promise::ALL {
+            let breaches: Vec<_> = self.promises.iter().filter(|one| one.promise == promise).collect();
+            if breaches.is_empty() {
+                continue;
+            }
+            text += &format!("promise {} broken {} times\n", promise.name(), breaches.len());
+            breaches.iter().take(3).for_each(|breach| text += &format!("  {breach}\n"));
+            broken.push(format!("promise {}", promise.name()));
+        }
+        text + &format!("broken: {}", broken.join(", "))
     }
 }
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -5,14 +5,15 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdin, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use quaypath::types::Condition;
 use quaypath_record::{Clock, Event, Writer};
 
-use quaypath_settings::{Day, Deployment, FaultKind};
+use quaypath_settings::{Day, Deployment, FaultKind, Party};
 use quaypath_standins::client::{self, Clients, Tally};
+use quaypath_standins::links::Links;
 use quaypath_standins::model::Figures;
 use quaypath_standins::register::Register;
 use quaypath_standins::target::{self, zone_of, Fleet, Target};
@@ -54,6 +55,17 @@
 /// Memory held by a gateway's process, by second of the day: resident KiB.
 pub type Memory = BTreeMap<u32, Vec<(f64, u64)>>;
 
+/// What a day leaves beside its record.
+pub struct Left {
+    pub books: Books,
+    pub memory: Memory,
+    pub tally: Tally,
+    /// How often faults of links struck, by kind.
+    pub struck: BTreeMap<String, u64>,
+    /// Processor time of each gateway's process, seconds, and how long it ran.
+    pub processor: BTreeMap<u32, (f64, f64)>,
+}
+
 /// How often the gateways' memory is looked at, seconds.
 const LOOK: f64 = 5.0;
 
@@ -62,10 +74,30 @@
     address: SocketAddr,
     process: Option<(Child, ChildStdin, BufReader<std::process::ChildStdout>)>,
     lives: u32,
+    /// A second process under the number of another.
+    twin: bool,
+    /// Where it sends datagrams to the fleet from.
+    talks_at: Option<SocketAddr>,
 }
 
+/// Number of a twin's first life among the processes of its number.
+const TWINS: u32 = 1000;
+
 impl Gateway {
-    fn start(&mut self, options: &Options, register: SocketAddr, record: &Writer) -> Result<(), Error> {
+    /// A loopback address of its own, so that nothing takes its port while it is down.
+    fn new(number: u32, twin: bool) -> Gateway {
+        let [high, low] = (number as u16 + 1).to_be_bytes();
+        let address = SocketAddr::from(([127, if twin { 3 } else { 1 }, high, low], 0));
+        Gateway { number, address, process: None, lives: if twin { TWINS } else { 0 }, twin, talks_at: None }
+    }
+
+    fn list(&self, folder: &Path) -> PathBuf {
+        folder.join(format!("{}-{}.list", if self.twin { "twin" } else { "gateway" }, self.number))
+    }
+
+    fn start(
+        &mut self, options: &Options, register: SocketAddr, links: Option<&Links>, record: &Writer,
+    ) -> Result<(), Error> {
         self.lives += 1;
         let number = self.number;
         let log = options.folder.join(format!("gateway-{number}-{}.log", self.lives));
@@ -77,7 +109,7 @@
             .args(["--listen", &self.address.to_string(), "--register", &register.to_string()])
             .args(["--number", &number.to_string(), "--seed", &(number * 1000 + self.lives).to_string()])
             .arg("--list")
-            .arg(options.folder.join(format!("gateway-{number}.list")))
+            .arg(self.list(&options.folder))
             .args(["--log", "json", "--until-stdin-closes"])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
@@ -85,7 +117,18 @@
         if options.careless {
             command.arg("--careless");
         }
-        record.put(Event::Started { t: record.clock.now(), gateway: number });
+        let mut own = self.address;
+        own.set_port(0);
+        let links = links.filter(|links| !links.members.is_empty());
+        if let Some(links) = links {
+            command.args(["--fleet-listen", &own.to_string()]);
+            for (member, address) in &links.members {
+                command.args(["--member", &format!("{member}={address}")]);
+            }
+        }
+        if !self.twin {
+            record.put(Event::Started { t: record.clock.now(), gateway: number });
+        }
         let mut child = command.spawn().map_err(io(options.gateway.display().to_string()))?;
         let (stdin, stdout) = (child.stdin.take().unwrap(), child.stdout.take().unwrap());
         let mut lines = BufReader::new(stdout);
@@ -97,10 +140,32 @@
             return Err(Error::Gateway { number, what: format!("'{}', {status}", line.trim()) });
         };
         self.address = address;
+        if let Some(links) = links {
+            let mut line = String::new();
+            lines.read_line(&mut line).map_err(io(format!("gateway {number}")))?;
+            let talks_at: Option<SocketAddr> =
+                line.trim().strip_prefix("fleet ").and_then(|address| address.parse().ok());
+            let Some(talks_at) = talks_at else {
+                return Err(Error::Gateway {
+                    number,
+                    what: format!("'{}' in place of its fleet's address", line.trim()),
+                });
+            };
+            links.home(number, self.lives, talks_at);
+            self.talks_at = Some(talks_at);
+        }
         self.process = Some((child, stdin, lines));
         Ok(())
     }
 
+    /// A line of the day's script to the process.
+    fn say(&mut self, words: &str) {
+        if let Some((_, stdin, _)) = &mut self.process {
+            let _ = writeln!(stdin, "{words}");
+            let _ = stdin.flush();
+        }
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some((child, ..)) = &self.process {
             // The process is a child of ours that was not waited for, so its id is its own.
@@ -118,10 +183,28 @@
         line.split_whitespace().next()?.parse().ok()
     }
 
-    fn kill(&mut self, record: &Writer) {
+    /// Processor time that it took, and how long it ran, seconds.
+    fn processor(&self) -> Option<(f64, f64)> {
+        let (child, ..) = self.process.as_ref()?;
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).ok()?;
+        let up = std::fs::read_to_string("/proc/uptime").ok()?;
+        // Behind the name, which may hold anything: user and system time and the start, in hundredths of a second.
+        let fields: Vec<f64> =
+            text.rsplit_once(')')?.1.split_whitespace().map(|word| word.parse().unwrap_or(0.0)).collect();
+        let ran = up.split_whitespace().next()?.parse::<f64>().ok()? - fields.get(19)? / 100.0;
+        Some(((fields.get(11)? + fields.get(12)?) / 100.0, ran))
+    }
+
+    fn kill(&mut self, links: Option<&Links>, record: &Writer) {
         if let Some((mut child, ..)) = self.process.take() {
             let _ = child.kill();
             let _ = child.wait();
+            if let (Some(links), Some(talks_at)) = (links, self.talks_at.take()) {
+                links.gone(self.number, talks_at);
+            }
+            if self.twin {
+                return;
+            }
             // Until it is reaped it may still have taken something, on a machine that is slow to kill.
             record.put(Event::Killed { t: record.clock.now(), gateway: self.number });
         }
@@ -160,6 +243,11 @@
     volumes: Arc<BTreeMap<u32, u64>>,
     targets: BTreeMap<i64, Target>,
     gateways: BTreeMap<u32, Gateway>,
+    twins: BTreeMap<u32, Gateway>,
+    /// Links between gateways, where they talk; and those to nodes and register, where the day has faults of them.
+    links: Option<Links>,
+    /// Parts of the data by the names of the nodes that hold them.
+    blocks: Arc<Mutex<BTreeMap<String, i64>>>,
     started: u64,
     memory: Memory,
     looked_at: f64,
@@ -206,6 +294,9 @@
             spread: 0.4,
         };
         let target = Target::start(options, listener, self.record.clone()).map_err(io("a target"))?;
+        let mut blocks = self.blocks.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        blocks.insert(target.node.clone(), block);
+        drop(blocks);
         let started = cold.then(|| self.record.clock.now());
         let notice = if cold { fleet.notice * 0.5 } else { 0.0 };
         self.register.list(&target.node, &zone, block, Condition::Ready, started, notice);
@@ -214,11 +305,7 @@
     }
 
     fn fault(&self, kind: FaultKind, on: String, begins: bool) {
-        let kind = serde_json::to_value(kind)
-            .ok()
-            .and_then(|name| name.as_str().map(String::from))
-            .unwrap_or_default();
-        self.record.put(Event::Fault { t: self.record.clock.now(), kind, on, begins });
+        self.record.put(Event::Fault { t: self.record.clock.now(), kind: name_of(kind), on, begins });
     }
 
     fn act(&mut self, act: &Act) -> Result<(), Error> {
@@ -264,15 +351,56 @@
             }
             Act::KillGateway { number } => {
                 let gateway = self.gateways.get_mut(number);
-                gateway.into_iter().for_each(|gateway| gateway.kill(&self.record));
+                gateway.into_iter().for_each(|gateway| gateway.kill(self.links.as_ref(), &self.record));
             }
             Act::StartGateway { number } => {
-                let register = self.register.address;
+                let register = register_of(self.day, &self.register, self.links.as_ref(), *number)?;
                 if let Some(gateway) =
                     self.gateways.get_mut(number).filter(|gateway| gateway.process.is_none())
                 {
-                    gateway.start(self.options, register, &self.record)?;
+                    gateway.start(self.options, register, self.links.as_ref(), &self.record)?;
+                }
+            }
+            Act::ForgetGateway { number } => {
+                let list = self.gateways.get(number).map(|gateway| gateway.list(&self.options.folder));
+                // A process that never had a list has none to lose.
+                list.into_iter().for_each(|list| drop(std::fs::remove_file(list)));
+            }
+            Act::Twin { number, begins } => {
+                self.fault(FaultKind::Twins, number.to_string(), *begins);
+                if *begins {
+                    let register = register_of(self.day, &self.register, self.links.as_ref(), *number)?;
+                    let mut twin = Gateway::new(*number, true);
+                    twin.start(self.options, register, self.links.as_ref(), &self.record)?;
+                    self.twins.insert(*number, twin);
+                } else if let Some(mut twin) = self.twins.remove(number) {
+                    twin.kill(self.links.as_ref(), &self.record);
+                }
+            }
+            Act::Clock { number, rate, step, begins } => {
+                self.fault(FaultKind::Clock, number.to_string(), *begins);
+                let gateway = self.gateways.get_mut(number);
+                gateway.into_iter().for_each(|gateway| gateway.say(&format!("clock {rate} {step}")));
+            }
+            Act::Disk { number, lasts } => {
+                self.fault(FaultKind::DiskStands, number.to_string(), true);
+                let gateway = self.gateways.get_mut(number);
+                gateway.into_iter().for_each(|gateway| gateway.say(&format!("disk {lasts}")));
+            }
+            Act::Link { kind, from, to, size, begins } => {
+                if let Some(links) = &self.links {
+                    links.set(*kind, from, to, *size, *begins);
                 }
+                let gateways = |ends: &std::collections::BTreeSet<Party>| {
+                    let gateway = |end: &Party| match end {
+                        Party::Gateway(number) => Some(*number),
+                        _ => None,
+                    };
+                    ends.iter().filter_map(gateway).collect::<Vec<u32>>()
+                };
+                let (from, to) = (gateways(from), gateways(to));
+                let (t, kind) = (self.record.clock.now(), name_of(*kind));
+                self.record.put(Event::Link { t, kind, from, to, size: *size, begins: *begins });
             }
             Act::StopGateway { number } | Act::ContinueGateway { number } => {
                 let begins = matches!(act, Act::StopGateway { .. });
@@ -319,6 +447,36 @@
     }
 }
 
+/// A fault's name in the day's form.
+fn name_of(kind: FaultKind) -> String {
+    let name = serde_json::to_value(kind).ok();
+    name.and_then(|name| name.as_str().map(String::from)).unwrap_or_default()
+}
+
+/// Whether the day's faults fall on links to nodes or the register, so that these go through the relay.
+fn relays_nodes(day: &Day, deployment: &Deployment) -> bool {
+    let ends = day
+        .fault
+        .iter()
+        .filter(|fault| fault.kind.of_links())
+        .filter_map(|fault| day.ends(deployment, fault).ok());
+    let mut ends = ends.flat_map(|(from, to)| from.into_iter().chain(to));
+    ends.any(|end| !matches!(end, Party::Gateway(_)))
+}
+
+/// Where a gateway reaches the register.
+fn register_of(
+    day: &Day, register: &Register, links: Option<&Links>, number: u32,
+) -> Result<SocketAddr, Error> {
+    let links = links.filter(|_| day.fault.iter().any(|fault| fault.kind.of_links()));
+    match links {
+        Some(links) => {
+            links.via(number, Party::Register, register.address).map_err(io("a link to the register"))
+        }
+        None => Ok(register.address),
+    }
+}
+
 /// Where a day's record goes in its folder.
 pub fn record_path(folder: &Path) -> PathBuf {
     folder.join("record.jsonl")
@@ -330,7 +488,22 @@
         std::fs::create_dir_all(&options.folder).map_err(io(options.folder.display().to_string()))?;
         let record = Writer::file(&record_path(&options.folder), Clock::default())?;
         let listener = target::listener().map_err(io("the register's port"))?;
-        let register = Register::start(deployment.register.mode, listener, record.clone());
+        let relays = relays_nodes(day, deployment);
+        let links = match &deployment.fleet {
+            Some(talk) => Some(Links::start(&talk.name, day.fleet.gateways, day.seed, record.clone())),
+            None if relays => Some(Links::start("none", 0, day.seed, record.clone())),
+            None => None,
+        };
+        let links = links.transpose().map_err(io("the links"))?;
+        let blocks = Arc::<Mutex<BTreeMap<String, i64>>>::default();
+        let known = blocks.clone();
+        let of_node = move |node: &str| {
+            let block = known.lock().unwrap_or_else(std::sync::PoisonError::into_inner).get(node).copied()?;
+            Some(Party::Node(block as u32))
+        };
+        let via = links.as_ref().filter(|_| relays).map(|links| links.by_register(of_node));
+        let mode = deployment.register.mode;
+        let register = Register::start_via(mode, listener, record.clone(), via);
         let nominal =
             deployment.volumes.iter().map(|(id, volume)| (*id, deployment.nominal[volume.plan])).collect();
         let mut stage = Stage {
@@ -344,6 +517,9 @@
             volumes: Arc::new(deployment.volumes.iter().map(|(id, volume)| (*id, volume.size)).collect()),
             targets: BTreeMap::new(),
             gateways: BTreeMap::new(),
+            twins: BTreeMap::new(),
+            links,
+            blocks,
             started: 0,
             memory: Memory::new(),
             looked_at: f64::NEG_INFINITY,
@@ -352,11 +528,9 @@
             stage.target(block, false)?;
         }
         for number in 0..day.fleet.gateways {
-            // A loopback address of its own, so that nothing takes its port while it is down.
-            let [high, low] = (number as u16 + 1).to_be_bytes();
-            let address = SocketAddr::from(([127, 1, high, low], 0));
-            let mut gateway = Gateway { number, address, process: None, lives: 0 };
-            gateway.start(options, stage.register.address, &record)?;
+            let mut gateway = Gateway::new(number, false);
+            let register = register_of(day, &stage.register, stage.links.as_ref(), number)?;
+            gateway.start(options, register, stage.links.as_ref(), &record)?;
             stage.gateways.insert(number, gateway);
         }
         Ok(stage)
@@ -379,7 +553,7 @@
     let addresses: Vec<_> =
         stage.gateways.iter().map(|(number, gateway)| (*number, gateway.address)).collect();
     ready(&addresses);
-    let mut acts = script(day).into_iter().peekable();
+    let mut acts = script(day, deployment).into_iter().peekable();
     while !over() {
         let now = stage.record.clock.now();
         let into = begins().map_or(f64::NEG_INFINITY, |begins| now - begins);
@@ -397,7 +571,7 @@
 
 /// Runs the day; gives what the gateways counted, the memory they held and how the clients fared. The record is
 /// in the folder.
-pub fn run(day: &Day, deployment: &Deployment, options: &Options) -> Result<(Books, Memory, Tally), Error> {
+pub fn run(day: &Day, deployment: &Deployment, options: &Options) -> Result<Left, Error> {
     let mut stage = Stage::up(day, deployment, options)?;
     let record = stage.record.clone();
     let asks = Arc::new(traffic(day, deployment));
@@ -423,7 +597,7 @@
         },
         record.clone(),
     );
-    for (at, act) in script(day) {
+    for (at, act) in script(day, deployment) {
         stage.wait_until(start, start + at);
         stage.act(&act)?;
     }
@@ -440,10 +614,14 @@
     // What still runs at the nodes is given the time to show.
     std::thread::sleep(Duration::from_millis(200));
     drop(clients);
+    let struck = stage.links.as_ref().map(Links::struck).unwrap_or_default();
+    let processor =
+        stage.gateways.iter().filter_map(|(number, gateway)| Some((*number, gateway.processor()?)));
+    let processor = processor.collect();
     let books = stage.down();
     record.flush()?;
     let memory = std::mem::take(&mut stage.memory);
     drop(stage);
     record.flush()?;
-    Ok((books, memory, tally))
+    Ok(Left { books, memory, tally, struck, processor })
 }
--- a/crates/programs/src/bin/day.rs
+++ b/crates/programs/src/bin/day.rs
@@ -103,14 +103,20 @@
     let keep = arguments.folder.is_some();
     let folder = arguments.folder.unwrap_or(own);
     let options = options(&arguments.day, &day, &folder, arguments.careless)?;
-    let (books, memory, tally) = run::run(&day, &deployment, &options).map_err(|error| error.to_string())?;
+    let left = run::run(&day, &deployment, &options).map_err(|error| error.to_string())?;
+    let (books, memory, tally) = (&left.books, &left.memory, &left.tally);
     let report = report::of_files(&deployment, day.transit, &[run::record_path(&folder)])
         .map_err(|error| error.to_string())?;
     match arguments.format {
         Form::Table => {
             say!("{}", report.table());
             say!("{} first tries found no gateway", tally.unreachable);
-            say!("{}", held(&memory, day.lasts));
+            say!("{}", held(memory, day.lasts));
+            report.told.iter().for_each(|told| say!("{}", told.line()));
+            if !left.struck.is_empty() {
+                let struck = left.struck.iter().map(|(kind, times)| format!("{kind} {times}"));
+                say!("faults of links struck: {}", struck.collect::<Vec<_>>().join(", "));
+            }
             if books.len() < day.fleet.gateways as usize {
                 say!("{} gateways gave no counts at the end", day.fleet.gateways as usize - books.len());
             }
@@ -118,7 +124,7 @@
         }
         Form::Json => {
             let whole = serde_json::json!({ "report": report, "books": books, "memory": memory,
-                "unreachable": tally.unreachable });
+                "unreachable": tally.unreachable, "struck": left.struck, "processor": left.processor });
             say!("{whole}");
         }
     }
@@ -149,10 +155,11 @@
     let mut broken = Vec::new();
     let mut transactions = 0;
     for seed in arguments.from..arguments.from.saturating_add(arguments.seeds) {
-        let storm = plan::storm(&day, seed, arguments.lasts.clamp(1.0, 600.0));
+        let storm = plan::storm(&day, deployment.fleet.is_some(), seed, arguments.lasts.clamp(1.0, 600.0));
         let folder = std::env::temp_dir().join(format!("quaypath-storm-{}-{seed}", std::process::id()));
         let options = options(&arguments.day, &day, &folder, false)?;
-        let (_, _, tally) = run::run(&storm, &deployment, &options).map_err(|error| error.to_string())?;
+        let run::Left { tally, .. } =
+            run::run(&storm, &deployment, &options).map_err(|error| error.to_string())?;
         let report = report::of_files(&deployment, day.transit, &[run::record_path(&folder)])
             .map_err(|error| error.to_string())?;
         transactions += report.all.taken;
@@ -214,7 +221,7 @@
     let (day, deployment) = quaypath_settings::day(path).map_err(|error| error.to_string())?;
     let asks = plan::traffic(&day, &deployment);
     say!("{}: {} s, {} first tries", day.name, day.lasts, asks.len());
-    for (at, act) in plan::script(&day) {
+    for (at, act) in plan::script(&day, &deployment) {
         say!("{at:8.2} s  {act:?}");
     }
     Ok(true)
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -1,5 +1,7 @@
 //! A day: fleet, traffic and troubles by time, with a seed.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{bad, Bad, Deployment};
@@ -43,6 +45,103 @@
     SameAddress,
     /// Something else takes a `size` part of the machine, two seconds on and two off.
     Neighbour,
+    /// Gateway processes have no turn for all of the time.
+    Stop,
+    /// Gateway processes are killed and started again after `returns` without what they kept on disk.
+    Forget,
+    /// A second process runs under a gateway's number.
+    Twins,
+    /// The clock of a gateway's fleet driver runs at `size` times its rate.
+    Clock,
+    /// It steps forward by `size` seconds, once.
+    ClockStep,
+    /// Writes and renames of gateways stand still.
+    DiskStands,
+    /// Links between `from` and `to`, both ways: nothing passes; connections are reset and refused.
+    Cut,
+    /// Nothing passes from `from` to `to`; the other way it does.
+    OneWay,
+    /// Nothing passes, and connections stay open.
+    Hole,
+    /// What passes comes `size` seconds late, give or take half of that.
+    Delay,
+    /// A `size` part of the datagrams is lost.
+    Lose,
+    /// A `size` part of the datagrams comes twice.
+    Repeat,
+    /// A `size` part of the datagrams comes behind later ones.
+    Reorder,
+    /// A `size` part of the datagrams has bytes changed.
+    Garble,
+    /// Connections pass `size` bytes a second.
+    Drip,
+}
+
+impl FaultKind {
+    /// Whether it falls on links, by `from` and `to`.
+    pub fn of_links(self) -> bool {
+        use FaultKind::*;
+        matches!(self, Cut | OneWay | Hole | Delay | Lose | Repeat | Reorder | Garble | Drip)
+    }
+
+    /// Whether it falls on gateways.
+    pub fn of_gateways(self) -> bool {
+        use FaultKind::*;
+        let own = matches!(self, Stop | Forget | Twins | Clock | ClockStep | DiskStands);
+        own || matches!(self, KillInitiators | StallInitiators)
+    }
+
+    /// Whether `size` is a part of all.
+    fn parts(self) -> bool {
+        use FaultKind::*;
+        matches!(self, Lose | Repeat | Reorder | Garble)
+    }
+}
+
+/// An end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Party {
+    Gateway(u32),
+    /// The node that holds this part of the data.
+    Node(u32),
+    Register,
+}
+
+/// The ends that a list names: `all`, `nodes`, `register`, `zone-1`, gateways as `0-3,7`, nodes as `n2,n4-5`. A
+/// gateway's zone is its number in turn, as a node's is its block's.
+fn parties(text: &str, gateways: u32, nodes: u32, zones: u32) -> Result<BTreeSet<Party>, String> {
+    let mut all = BTreeSet::new();
+    let range = |word: &str, most: u32| -> Result<std::ops::RangeInclusive<u32>, String> {
+        let (from, to) = word.split_once('-').unwrap_or((word, word));
+        match (from.parse::<u32>(), to.parse::<u32>()) {
+            (Ok(from), Ok(to)) if from <= to && to < most => Ok(from..=to),
+            _ => Err(format!("'{word}'")),
+        }
+    };
+    for word in text.split(',') {
+        match word {
+            "all" => {
+                all.extend((0..gateways).map(Party::Gateway));
+                all.extend((0..nodes).map(Party::Node));
+                all.insert(Party::Register);
+            }
+            "gateways" => all.extend((0..gateways).map(Party::Gateway)),
+            "nodes" => all.extend((0..nodes).map(Party::Node)),
+            "register" => drop(all.insert(Party::Register)),
+            _ => {
+                if let Some(zone) = word.strip_prefix("zone-") {
+                    let zone = *range(zone, zones)?.start();
+                    all.extend((0..gateways).filter(|one| one % zones == zone).map(Party::Gateway));
+                    all.extend((0..nodes).filter(|one| one % zones == zone).map(Party::Node));
+                } else if let Some(of_nodes) = word.strip_prefix('n') {
+                    all.extend(range(of_nodes, nodes)?.map(Party::Node));
+                } else {
+                    all.extend(range(word, gateways)?.map(Party::Gateway));
+                }
+            }
+        }
+    }
+    Ok(all)
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -168,6 +267,11 @@
     pub part: f64,
     #[serde(rename = "@node")]
     pub node: Option<u32>,
+    /// Ends of the links that it falls on.
+    #[serde(rename = "@from", default)]
+    pub from: String,
+    #[serde(rename = "@to", default)]
+    pub to: String,
     #[serde(rename = "@size", default)]
     pub size: f64,
     #[serde(rename = "@waves", default)]
@@ -214,9 +318,25 @@
         let parted = fault.part > 0.0 || fault.node.is_some();
         let whole =
             matches!(fault.kind, FaultKind::RegisterFails | FaultKind::RegisterLate | FaultKind::LateReports);
-        if !parted && !whole {
+        if fault.kind.of_links() {
+            if fault.from.is_empty() || fault.to.is_empty() || parted {
+                return bad(place, "no from and to, or part or node", "links are named by both ends alone");
+            }
+        } else if !fault.from.is_empty() || !fault.to.is_empty() {
+            return bad(place, "from or to", "only faults of links have them");
+        } else if !parted && !whole {
             return bad(place, "neither part nor node", "state which nodes or gateways it falls on");
         }
+        if fault.kind.parts() && !(fault.size > 0.0 && fault.size <= 1.0) {
+            return bad(place, fault.size, "size is a part of all datagrams, above 0, 1 at most");
+        }
+        let sized = matches!(fault.kind, FaultKind::Delay | FaultKind::Drip | FaultKind::ClockStep);
+        if sized && fault.size <= 0.0 {
+            return bad(place, fault.size, "size is above 0");
+        }
+        if fault.kind == FaultKind::Clock && !(0.1..=10.0).contains(&fault.size) {
+            return bad(place, fault.size, "size is the rate of the clock, 0.1 to 10");
+        }
         if fault.at + fault.lasts > day.lasts {
             return bad(place, fault.at + fault.lasts, format!("ends within the day's {} s", day.lasts));
         }
@@ -245,6 +365,27 @@
         {
             return bad("traffic, abuse", format!("plan '{}'", abuse.plan), "a plan of the deployment");
         }
+        for (at, fault) in self.fault.iter().enumerate().filter(|(_, fault)| fault.kind.of_links()) {
+            let place = format!("fault {} ({:?})", at + 1, fault.kind);
+            let (from, to) = match self.ends(deployment, fault) {
+                Ok(ends) => ends,
+                Err(found) => return bad(place, found, "ends as the day's gateways, nodes and zones are"),
+            };
+            let gateway = |ends: &BTreeSet<Party>| ends.iter().any(|end| matches!(end, Party::Gateway(_)));
+            if !gateway(&from) && !gateway(&to) {
+                return bad(place, "no gateway at either end", "links are those of gateways");
+            }
+        }
+        if let Some(talk) = &deployment.fleet {
+            let lists = |number: u32| talk.member.iter().any(|member| u32::from(member.number) == number);
+            if let Some(number) = (0..self.fleet.gateways).find(|number| !lists(*number)) {
+                return bad(
+                    "fleet, gateways",
+                    format!("gateway {number}"),
+                    "a member of the deployment's fleet",
+                );
+            }
+        }
         if self.fleet.nodes != deployment.nodes {
             let rule = format!("the deployment's layout has {}", deployment.nodes);
             return bad("fleet, nodes", self.fleet.nodes, rule);
@@ -256,6 +397,14 @@
         Ok(())
     }
 
+    /// Both ends of a fault of links.
+    pub fn ends(
+        &self, deployment: &Deployment, fault: &Fault,
+    ) -> Result<(BTreeSet<Party>, BTreeSet<Party>), String> {
+        let of = |text: &str| parties(text, self.fleet.gateways, self.fleet.nodes, deployment.zones.max(1));
+        Ok((of(&fault.from)?, of(&fault.to)?))
+    }
+
     /// Part of the traffic of each band of the deployment.
     pub fn shares(&self, deployment: &Deployment) -> Vec<f64> {
         let part = |name: &String| {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,7 @@
 
 use thiserror::Error;
 
-pub use day::{Abuse, Day, Fault, FaultKind, Fleet, LeadChange, Leave, Surge, Traffic};
+pub use day::{Abuse, Day, Fault, FaultKind, Fleet, LeadChange, Leave, Party, Surge, Traffic};
 pub use deployment::{
     migrate, BandRule, Connections, Deployment, Digests, Listen, Member, Mode, Placement, Register, Talk,
     Volume,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! switched on and off by time, and writes down what crossed its sockets.
 
 pub mod client;
+pub mod links;
 pub mod model;
 pub mod register;
 pub mod serve;
--- a/crates/standins/src/register.rs
+++ b/crates/standins/src/register.rs
@@ -62,6 +62,9 @@
     }
 }
 
+/// Where a gateway reaches a node: its number and the node's address give the address that it is told.
+pub type Via = Arc<dyn Fn(u32, &str) -> String + Send + Sync>;
+
 /// A register that runs on a thread of its own.
 pub struct Register {
     pub address: SocketAddr,
@@ -80,6 +83,14 @@
 
 impl Register {
     pub fn start(mode: Mode, listener: TcpListener, record: Writer) -> io::Result<Register> {
+        Self::start_via(mode, listener, record, None)
+    }
+
+    /// As [`Register::start`]; gateways are told addresses of `via` in place of the nodes' own. The record keeps to
+    /// the nodes' own.
+    pub fn start_via(
+        mode: Mode, listener: TcpListener, record: Writer, via: Option<Via>,
+    ) -> io::Result<Register> {
         let address = listener.local_addr()?;
         let book = Arc::<Mutex<Book>>::default();
         let (shared, writer) = (book.clone(), record.clone());
@@ -89,6 +100,7 @@
                 book: shared,
                 record: writer,
                 mode,
+                via,
                 connections: BTreeMap::new(),
                 associations: Associations::new(MOST_CONNECTIONS),
                 next: 1,
@@ -148,6 +160,7 @@
     book: Arc<Mutex<Book>>,
     record: Writer,
     mode: Mode,
+    via: Option<Via>,
     connections: BTreeMap<u64, Connection>,
     associations: Associations,
     next: u64,
@@ -187,6 +200,9 @@
     generation: u64,
     shown: Vec<Change>,
     now: f64,
+    /// Which gateway it is shown to, and where that one reaches nodes.
+    to: u32,
+    via: Option<Via>,
 }
 
 impl View for Face {
@@ -209,7 +225,9 @@
     }
     fn discovery(&self) -> Vec<Record> {
         let record = |change: &Change| {
-            let (address, service) = change.entry.node.rsplit_once(':').unwrap_or((&change.entry.node, ""));
+            let node = &change.entry.node;
+            let reached = self.via.as_ref().map_or_else(|| node.clone(), |via| via(self.to, node));
+            let (address, service) = reached.rsplit_once(':').unwrap_or((&reached, ""));
             Record {
                 port: change.port,
                 address: address.into(),
@@ -226,10 +244,10 @@
 }
 
 impl State {
-    fn face(&self) -> Face {
+    fn face(&self, to: u32) -> Face {
         let now = self.record.clock.now();
         let (generation, shown) = self.book.lock().unwrap().at(now);
-        Face { generation, shown, now }
+        Face { generation, shown, now, to, via: self.via.clone() }
     }
 
     fn read(&mut self, number: u64, bytes: &[u8]) -> bool {
@@ -254,7 +272,8 @@
     }
 
     fn command(&mut self, number: u64, sqe: &Sqe) {
-        let (now, face) = (self.record.clock.now(), self.face());
+        let gateway = self.connections.get(&number).map_or(0, |connection| connection.gateway);
+        let (now, face) = (self.record.clock.now(), self.face(gateway));
         let reads = sqe.opcode == opcode::GET_LOG_PAGE;
         let fails = reads && self.mode == Mode::Asked && self.book.lock().unwrap().fails;
         let reply = match self.associations.command(now, number, sqe, &face) {
@@ -303,7 +322,7 @@
     }
 
     fn look(&mut self) {
-        let face = self.face();
+        let face = self.face(0);
         for number in self.associations.lost(face.now) {
             self.close(number);
         }
