--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -597,7 +597,8 @@
         },
         record.clone(),
     );
-    for (at, act) in script(day, deployment) {
+    // What would return behind the end of the day does not.
+    for (at, act) in script(day, deployment).into_iter().take_while(|(at, _)| *at <= day.lasts) {
         stage.wait_until(start, start + at);
         stage.act(&act)?;
     }
--- a/crates/programs/src/bin/day.rs
+++ b/crates/programs/src/bin/day.rs
@@ -10,7 +10,7 @@
 use quaypath_day::{plan, report, run};
 use quaypath_programs::{exit, say, Logs};
 use quaypath_record::Clock;
-use quaypath_settings::Day;
+use quaypath_settings::{migrate, Day, Fault, FaultKind};
 
 #[derive(Clone, Copy, ValueEnum)]
 enum Form {
@@ -36,6 +36,8 @@
     Storm(Storm),
     /// Keeps the day's fleet up for other programs to load; ends when standard input does
     Fleet(Fleet),
+    /// Measures a fleet of members that talk, at another size and with its own faults; prints one line, or a row
+    Members(Members),
     /// Prints what the day will bring, without running it
     Show {
         /// The day, XML by quaypath.xsd
@@ -72,6 +74,35 @@
     judge: Vec<PathBuf>,
 }
 
+/// Kills, stops and loss at a size of choice, without the day's own troubles: time to detect, false alarms, traffic,
+/// processor time and memory, as links and the system saw them.
+#[derive(Args)]
+struct Members {
+    /// The day whose deployment and nodes are taken, XML by quaypath.xsd
+    day: PathBuf,
+    /// Processes
+    #[arg(long, default_value_t = 8)]
+    count: u16,
+    /// Part of the datagrams that is lost
+    #[arg(long, default_value_t = 0.0)]
+    lose: f64,
+    /// Seconds that a tenth of the processes stands still, twice
+    #[arg(long, default_value_t = 0.0)]
+    stops: f64,
+    /// Processes that are killed, one after the other
+    #[arg(long, default_value_t = 3)]
+    kills: u32,
+    /// Seconds
+    #[arg(long, default_value_t = 40.0)]
+    lasts: f64,
+    /// Heartbeats of each to all, and everyone probes everything, to compare with
+    #[arg(long)]
+    careless: bool,
+    /// Where record, lists and logs go; a new folder under the system's temporary one where absent
+    #[arg(long)]
+    folder: Option<PathBuf>,
+}
+
 #[derive(Args)]
 struct Run {
     /// The day, XML by quaypath.xsd
@@ -178,6 +209,81 @@
     Ok(broken.is_empty())
 }
 
+fn members(arguments: &Members) -> Result<bool, String> {
+    let (mut day, deployment) = quaypath_settings::day(&arguments.day).map_err(|error| error.to_string())?;
+    if deployment.fleet.is_none() || !(2..=1024).contains(&arguments.count) {
+        return Err(format!("--count {}: 2 to 1024, of a day whose initiators talk", arguments.count));
+    }
+    if !(0.0..=0.9).contains(&arguments.lose) || !(0.0..=10.0).contains(&arguments.stops) {
+        return Err("--lose is 0 to 0.9, --stops 0 to 10 s".into());
+    }
+    if !(20.0..=600.0).contains(&arguments.lasts) || arguments.kills >= u32::from(arguments.count) {
+        return Err("--lasts is 20 to 600 s, --kills leaves one".into());
+    }
+    let own = std::env::temp_dir().join(format!("quaypath-members-{}", std::process::id()));
+    let folder = arguments.folder.clone().unwrap_or(own.clone());
+    std::fs::create_dir_all(&folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+    let from = arguments.day.parent().unwrap_or(Path::new("")).join(&day.deployment);
+    let text = migrate::crowd(&from, arguments.count).map_err(|error| error.to_string())?;
+    let widened = folder.join("deployment.xml");
+    std::fs::write(&widened, text).map_err(|error| format!("{}: {error}", widened.display()))?;
+    let deployment = quaypath_settings::deployment(&widened).map_err(|error| error.to_string())?;
+    // Little traffic: it is the fleet that is measured.
+    (day.lasts, day.traffic.rate, day.fleet.gateways) = (arguments.lasts, 5.0, u32::from(arguments.count));
+    (day.fault, day.traffic.surge, day.traffic.leave) = (Vec::new(), Vec::new(), Vec::new());
+    let fault = |kind, at: f64, lasts: f64| Fault {
+        kind,
+        at,
+        lasts,
+        part: 0.0,
+        node: None,
+        from: String::new(),
+        to: String::new(),
+        size: 0.0,
+        waves: 0,
+        returns: 0.0,
+    };
+    if arguments.lose > 0.0 {
+        let ends = "gateways".to_string();
+        let lose = fault(FaultKind::Lose, 0.0, arguments.lasts);
+        day.fault.push(Fault { from: ends.clone(), to: ends, size: arguments.lose, ..lose });
+    }
+    for nth in 0..arguments.kills {
+        // Spread over the first half, so that each is told of before the end; none comes back.
+        let at = 8.0 + (arguments.lasts / 2.0 - 8.0) * f64::from(nth) / f64::from(arguments.kills);
+        let node = Some(u32::from(arguments.count) - 1 - nth);
+        day.fault.push(Fault {
+            node,
+            returns: 2.0 * arguments.lasts,
+            ..fault(FaultKind::KillInitiators, at, 0.0)
+        });
+    }
+    if arguments.stops > 0.0 {
+        for at in [8.0, arguments.lasts / 2.0] {
+            for node in 0..u32::from(arguments.count).div_ceil(10) {
+                day.fault.push(Fault { node: Some(node), ..fault(FaultKind::Stop, at, arguments.stops) });
+            }
+        }
+    }
+    let mut options = options(&arguments.day, &day, &folder, arguments.careless)?;
+    options.deployment = widened;
+    let left = run::run(&day, &deployment, &options).map_err(|error| error.to_string())?;
+    let report = report::of_files(&deployment, day.transit, &[run::record_path(&folder)])
+        .map_err(|error| error.to_string())?;
+    let told = report.told.clone().unwrap_or_default();
+    let used: f64 = left.processor.values().map(|(used, ran)| used / ran.max(1.0)).sum();
+    let used = 100.0 * used / left.processor.len().max(1) as f64;
+    let mut held: Vec<u64> = left.memory.values().filter_map(|samples| Some(samples.last()?.1)).collect();
+    held.sort_unstable();
+    let held = held.get(held.len() / 2).copied().unwrap_or(0);
+    say!("{}", told.line());
+    say!("a process: {used:.2}% of a core, {held} KiB; {}", report.verdict());
+    if arguments.folder.is_none() {
+        let _ = std::fs::remove_dir_all(&own);
+    }
+    Ok(report.kept())
+}
+
 fn fleet(arguments: &Fleet) -> Result<bool, String> {
     let (day, deployment) = quaypath_settings::day(&arguments.day).map_err(|error| error.to_string())?;
     let own = std::env::temp_dir().join(format!("quaypath-fleet-{}", std::process::id()));
@@ -234,6 +340,7 @@
         Act::Run(run) => run_day(run),
         Act::Storm(arguments) => storm(&arguments),
         Act::Fleet(arguments) => fleet(&arguments),
+        Act::Members(arguments) => members(&arguments),
         Act::Show { day } => show(&day),
     };
     exit("quaypath-day", done)
--- a/crates/settings/src/deployment/migrate.rs
+++ b/crates/settings/src/deployment/migrate.rs
@@ -15,7 +15,7 @@
 use serde::Serialize;
 use thiserror::Error as Failure;
 
-use super::{decode, BandForm, Form, FurtherForm};
+use super::{decode, BandForm, Form, FurtherForm, Member};
 use crate::{check, load_form, Error};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -246,6 +246,15 @@
     notes.take("units, metering", &mut units.metering, by.metering);
     notes.take("units, tells-others", &mut units.tells_others, by.tells_others);
     notes.take("layout, initiators", &mut old.layout.initiators, shape.layout.initiators);
+    let most = old.layout.initiators;
+    if let Some(talk) = &mut old.fleet {
+        let before = talk.member.len();
+        talk.member.retain(|member| u32::from(member.number) < most);
+        if talk.member.len() < before {
+            let reason = format!("{} members: the shape has {most} initiators", before - talk.member.len());
+            notes.add(Kind::Lost, "fleet, member", reason);
+        }
+    }
     if old.layout.nodes != shape.layout.nodes {
         let reason =
             "their extents lie on other nodes of another number of them: data is copied before the start";
@@ -273,6 +282,41 @@
     }
 }
 
+/// The text of a file of this form, without its comments.
+fn written(form: &Form, path: &Path) -> Result<String, Error> {
+    let mut body = String::new();
+    let mut writer = Serializer::new(&mut body);
+    writer.indent(' ', 2);
+    form.serialize(writer).map_err(|error| Error::Xml { path: path.into(), what: error.to_string() })?;
+    Ok(body)
+}
+
+/// The text of the deployment at `path` with a fleet of so many members on loopback addresses of their own, all of one
+/// weight: to measure a fleet at another size.
+pub fn crowd(path: &Path, members: u16) -> Result<String, Error> {
+    let (mut form, _): (Form, _) = load_form(path, "deployment")?;
+    form.layout.initiators = u32::from(members);
+    let Some(talk) = &mut form.fleet else {
+        let (place, found) = ("fleet".into(), "none".into());
+        return Err(Error::Check {
+            path: path.into(),
+            place,
+            found,
+            rule: "a deployment whose initiators talk".into(),
+        });
+    };
+    let address = |number: u16| {
+        let [high, low] = (number + 1).to_be_bytes();
+        format!("127.1.{high}.{low}:7300")
+    };
+    talk.member = (0..members).map(|number| Member { number, address: address(number), weight: 1 }).collect();
+    for group in &mut form.volumes {
+        group.initiators = group.initiators.min(u32::from(members));
+    }
+    decode(form.clone()).map_err(|bad| bad.at(path))?;
+    written(&form, path)
+}
+
 /// The counterpart of `old` in the shape of `shape`, checked as at start. Errors name file, place and rule.
 pub fn migrate(old: &Path, shape: &Path) -> Result<Migration, Error> {
     let (mut form, text): (Form, _) = load_form(old, "deployment")?;
@@ -290,10 +334,7 @@
             format!("{inside} inside the deployment: only those before it are kept"),
         );
     }
-    let mut body = String::new();
-    let mut writer = Serializer::new(&mut body);
-    writer.indent(' ', 2);
-    form.serialize(writer).map_err(|error| Error::Xml { path: old.into(), what: error.to_string() })?;
+    let body = written(&form, old)?;
     let before: String = before.iter().map(|comment| format!("<!--{comment}-->\n")).collect();
     let text = format!("<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n{before}{body}\n");
     check(old, &text, "deployment")?;
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -58,6 +58,11 @@
 #[test_case("rail.xml", "plan=\"basic\" first", "plan=\"none\" first", "a plan of this file"; "a plan that is not there")]
 #[test_case("rail.xml", "first=\"101\"", "first=\"10\"", "each volume once"; "a volume twice")]
 #[test_case("rail.xml", "name=\"export\"", "name=\"purchase\"", "each name once"; "a band twice")]
+#[test_case("rail-fleet.xml", "member number=\"3\"", "member number=\"33\"", "below the layout's 10"; "a member beyond the layout")]
+#[test_case("rail-fleet.xml", "member number=\"3\"", "member number=\"4\"", "each once"; "a member twice")]
+#[test_case("rail-fleet.xml", "wait=\"0.2\"", "wait=\"0.5\"", "below the period"; "a check that never ends in its period")]
+#[test_case("rail-fleet.xml", "window=\"5\"", "window=\"1\"", "probe-every"; "a window shorter than a round")]
+#[test_case("rail-fleet.xml", "127.1.0.4:7300", "here", "an address and port"; "a member without an address")]
 #[test_case("rail.xml", "first=\"1\"", "first=\"0\"", "start at 1"; "volume 0")]
 #[test_case("rail.xml", "shots=\"4\"", "shots=\"four\"", "schema"; "not a number")]
 #[test_case("rail.xml", "drain-grace=\"2\"", "drain-grace=\"-2\"", "schema"; "a negative time")]
@@ -95,6 +100,25 @@
     }
 }
 
+#[test_case("kind=\"garble\" at=\"2\" lasts=\"50\" from=\"gateways\" to=\"gateways\" size=\"0.02\"", "kind=\"garble\" at=\"2\" lasts=\"50\" from=\"gateways\" to=\"gateways\" size=\"2\"", "a part of all datagrams"; "more than all")]
+#[test_case("from=\"0-2\" to=\"3-7\"", "from=\"0-2\" to=\"3-17\"", "'3-17'"; "gateways that are not there")]
+#[test_case("from=\"0-2\" to=\"3-7\"", "from=\"0-2\"", "named by both ends"; "a link with one end")]
+#[test_case("from=\"0-2\" to=\"3-7\"", "from=\"nodes\" to=\"register\"", "no gateway at either end"; "a link of no gateway")]
+#[test_case("kind=\"stop\" at=\"12\" lasts=\"6\" node=\"1\"", "kind=\"stop\" at=\"12\" lasts=\"6\" from=\"1\" to=\"2\"", "only faults of links"; "a stop of a link")]
+#[test_case("size=\"1.05\"", "size=\"50\"", "rate of the clock"; "a clock that races")]
+#[test_case("from=\"0-2\" to=\"3-7\"", "from=\"zone-1\" to=\"0,n2-4,register\"", ""; "ends of every kind")]
+fn a_bad_fault_of_the_fleet_is_refused(from: &str, to: &str, word: &str) {
+    let text = std::fs::read_to_string(root().join("days/duties.xml")).unwrap();
+    assert!(text.contains(from), "the day has changed: {from}");
+    let path = root().join("deploy/samples/rail-fleet.xml").canonicalize().unwrap();
+    let text = text.replace("../deploy/samples/rail-fleet.xml", path.to_str().unwrap());
+    let file = File::new(&text.replacen(from, to, 1));
+    match day(&file.0) {
+        Ok(_) => assert!(word.is_empty()),
+        Err(error) => assert!(!word.is_empty() && error.to_string().contains(word), "{error}"),
+    }
+}
+
 #[test]
 fn a_day_is_no_deployment() {
     let error = deployment(&root().join("days/calm.xml")).unwrap_err().to_string();
--- a/crates/standins/src/links.rs
+++ b/crates/standins/src/links.rs
@@ -145,7 +145,7 @@
         let running = Running::start("links", move |executor| {
             let weak = Rc::downgrade(executor);
             let late = Rc::new(std::cell::Cell::new(0));
-            let meters = Meters::default();
+            let (meters, told) = (Meters::default(), SaidOf::default());
             for (number, socket) in sockets {
                 let Ok(socket) = Async::new(socket) else { continue };
                 let relay = Relay {
@@ -156,6 +156,7 @@
                     chance: SmallRng::seed_from_u64(seed ^ u64::from(number) << 20),
                     late: late.clone(),
                     meters: meters.clone(),
+                    told: told.clone(),
                 };
                 executor.spawn(relay.run(weak.clone())).detach();
             }
@@ -262,8 +263,12 @@
     chance: SmallRng,
     late: Rc<std::cell::Cell<usize>>,
     meters: Meters,
+    told: SaidOf,
 }
 
+/// What each process said last of each member.
+type SaidOf = Rc<std::cell::RefCell<HashMap<(u32, u32, u16), Status>>>;
+
 impl Relay {
     async fn run(mut self, executor: Weak<LocalExecutor<'static>>) {
         let mut bytes = vec![0; 2 * LONGEST];
@@ -316,12 +321,19 @@
         (*datagrams, *sum, *longest) = (*datagrams + 1, *sum + length, length.max(*longest));
         drop(meters);
         let Ok(message) = Message::decode(self.ears.fleet, bytes) else { return };
-        if message.kind != Kind::Page || message.news.is_empty() {
+        // A page is what its sender holds; of other news only what is new from it.
+        let mut told = self.told.borrow_mut();
+        let said = message.news.iter().filter(|news| {
+            let before = told.insert((gateway, process, news.member.0), news.status);
+            message.kind == Kind::Page || before != Some(news.status)
+        });
+        let said: Vec<_> = said.collect();
+        if said.is_empty() {
             return;
         }
         // What left in order is neither.
         let those = |held: &[Status]| {
-            let news = message.news.iter().filter(|news| held.contains(&news.status));
+            let news = said.iter().filter(|news| held.contains(&news.status));
             news.map(|news| u32::from(news.member.0)).collect()
         };
         let (live, dead) = (those(&[Status::Alive, Status::Suspect]), those(&[Status::Dead]));
