Short stops do not starve duties; a duty's time counts from the last fault, with a worst case

Ruled out: news that were late (the same members' findings were heard) and targets (they answered others). Now a process looks on only after a stop longer than the least suspicion, before which nobody can have taken over.

The test of eight processes with two killed and one stopped asserts by itself that no duty waits for more than 10 s.

--- a/crates/fleet/src/together.rs
+++ b/crates/fleet/src/together.rs
@@ -173,8 +173,8 @@
     fn suspicion(&self, suspectors: usize) -> f64 {
         let least = SUSPICION * (self.roll.live_count().max(10) as f64).log10() * self.figures.period;
         let (most, wanted) = (SUSPICION_MOST * least, self.figures.helpers.max(1) as f64);
-        let confirmed = suspectors.saturating_sub(1) as f64;
-        (most - (most - least) * (confirmed + 1.0).ln() / (wanted + 1.0).ln()).max(least)
+        let confirmed = suspectors.clamp(1, self.figures.helpers + 1) as f64;
+        (most - (most - least) * confirmed.ln() / (wanted + 1.0).ln()).max(least)
     }
 
     // What goes out.
@@ -343,7 +343,9 @@
         self.orders.clear();
         self.roll.put_off(late);
         (self.check_at, self.page_at) = (now + self.figures.wait, now);
-        if late > self.figures.period {
+        // Others may have taken over from here on, and not before: a process that stands still again and again for
+        // less than that would otherwise look on for ever.
+        if late > self.suspicion(usize::MAX) {
             self.duties.put_off();
             self.look_on(self.figures.window / 2.0);
             self.to(Standing::Alone);
--- a/crates/fleet/tests/hard_cases.rs
+++ b/crates/fleet/tests/hard_cases.rs
@@ -280,6 +280,22 @@
     assert!(done(&one.run(40.0)), "it does them again later");
 }
 
+/// A process that stands still for less than others need to take over, again and again, goes on with its duties.
+#[test]
+fn short_stops_do_not_starve_duties() {
+    let short = (0..14).flat_map(|nth| {
+        (0..4).map(move |who| Trouble::Stop { who, at: 6.0 + 2.5 * f64::from(nth), lasts: 0.6 })
+    });
+    let outcome = play(&with(8, short.collect()));
+    assert!(outcome.broken.is_empty(), "{:?}", outcome.broken);
+    assert!(outcome.no_turn > 20);
+    let mut last = std::collections::HashMap::new();
+    for (at, duty, _) in outcome.done.iter().filter(|(at, ..)| *at > 8.0) {
+        let before = last.insert(duty, *at).unwrap_or(*at);
+        assert!(at - before < 6.0, "{duty:?} was not done from {before} to {at}");
+    }
+}
+
 #[test_case(None, 1; "with the check")]
 #[test_case(Some(Safeguard::Repeats), 2; "without")]
 fn a_datagram_is_answered_once(without: Option<Safeguard>, answers: usize) {
--- a/crates/programs/tests/fleet.rs
+++ b/crates/programs/tests/fleet.rs
@@ -73,6 +73,9 @@
     assert!(output.status.success(), "{}: {}", result["report"]["promises"], result["report"]["breaches"]);
     assert!(result["struck"][struck].as_u64().unwrap_or(0) > 0, "{}", result["struck"]);
     assert!(result["report"]["told"]["probes"].as_u64().unwrap() > 50);
+    // Two killed, one stopped: each duty is done again within ten seconds, the time to stop and all.
+    let longest = result["report"]["told"]["longest_break"].as_f64().unwrap();
+    assert!(name != "killed" || longest < 10.5, "a duty was not done for {longest} s");
     std::fs::remove_dir_all(day.parent().unwrap()).unwrap();
 }
 
--- a/crates/rules/src/fleet.rs
+++ b/crates/rules/src/fleet.rs
@@ -16,8 +16,10 @@
     pub every: f64,
     /// How long two may both do a duty.
     pub window: f64,
-    /// Within this each duty is done again, whatever became of who did it.
+    /// Within this of the last fault anywhere in the fleet each duty is done again, whatever became of who did it.
     pub done_within: f64,
+    /// In any case within this, however many faults follow each other.
+    pub done_at_worst: f64,
     /// After this, what members hold of each other is so.
     pub settles: f64,
     /// Most that a process sends, bytes a second, and its longest datagram.
@@ -221,6 +223,14 @@
         cuts.map(|(_, to, ..)| to.min(t)).chain(own).fold(f64::NEG_INFINITY, f64::max)
     }
 
+    /// The last moment between two at which a fault of processes or links began or ended, anywhere in the fleet.
+    fn unrest(&self, from: f64, to: f64) -> f64 {
+        let touched = self.lives.values().flat_map(|life| life.touched.iter().copied());
+        let cuts = self.cuts.iter().map(|(from, to, ..)| (*from, *to));
+        let moments = touched.chain(cuts).flat_map(|(begun, ended)| [begun, ended]);
+        moments.filter(|t| (from..=to).contains(t)).fold(f64::NEG_INFINITY, f64::max)
+    }
+
     /// From when on a cut no longer excuses two that do one duty until `to`.
     fn healed(&self, to: f64, window: f64) -> f64 {
         let begun = self.cuts.iter().filter(|(from, ..)| *from <= to);
@@ -278,8 +288,12 @@
             let inside = asked.iter().map(|(t, _)| *t).filter(|t| (from..to).contains(t));
             let mut before = from;
             for t in inside.chain([to]) {
-                if t - before > book.done_within + book.transit {
-                    let what = format!("block {block} is not probed for {:.1} s", t - before);
+                let quiet = t - before.max(facts.unrest(before, t));
+                if quiet > book.done_within + book.transit || t - before > book.done_at_worst + book.transit {
+                    let what = format!(
+                        "block {block} is not probed for {:.1} s, {quiet:.1} of them quiet",
+                        t - before
+                    );
                     breaches.push(Breach { promise: Promise::Done, t: before, what });
                 }
                 before = t;
--- a/crates/rules/tests/promises.rs
+++ b/crates/rules/tests/promises.rs
@@ -8,6 +8,7 @@
     every: 2.0,
     window: 4.0,
     done_within: 10.0,
+    done_at_worst: 20.0,
     settles: 15.0,
     most_bytes: 10_000.0,
     longest: 1200,
@@ -79,6 +80,9 @@
 #[test_case(two(11.0, 31.0, &[link(10.0, "lose", 0.3, true), link(28.0, "lose", 0.3, false)]), &[Promise::OneDoer]; "loss that is borne excuses nothing")]
 #[test_case(vec![up(0.0), started(0.0, 1), probed(5.0, 1), probed(15.0, 1), down(25.0)], &[]; "done again in time")]
 #[test_case(vec![up(0.0), started(0.0, 1), probed(5.0, 1), probed(15.2, 1), down(25.0)], &[Promise::Done]; "done late")]
+#[test_case(vec![up(0.0), started(0.0, 1), started(0.0, 2), probed(5.0, 1), killed(9.0, 2), probed(18.9, 1), down(20.0)], &[]; "done in time after a kill")]
+#[test_case(vec![up(0.0), started(0.0, 1), started(0.0, 2), probed(5.0, 1), killed(9.0, 2), probed(19.2, 1), down(20.0)], &[Promise::Done]; "done late after a kill")]
+#[test_case(vec![up(0.0), started(0.0, 1), started(0.0, 2), probed(5.0, 1), killed(9.0, 2), started(18.0, 2), probed(25.2, 1), down(26.0)], &[Promise::Done]; "done late whatever goes on")]
 #[test_case(vec![up(0.0), started(0.0, 1), probed(5.0, 1), down(12.0), up(40.0), probed(45.0, 1), down(46.0)], &[]; "nobody to ask")]
 #[test_case(vec![up(0.0), started(0.0, 1), probed(5.0, 1), fault(6.0, "partition", "n", true), fault(40.0, "partition", "n", false), probed(45.0, 1), down(46.0)], &[]; "a node that hears nothing")]
 #[test_case(held(10.0, false, &[]), &[]; "held dead soon after its start")]
