--- a/crates/fleet/src/together.rs
+++ b/crates/fleet/src/together.rs
@@ -480,6 +480,7 @@
             .collect();
         let due = self.duties.due(self.now, self.roll.version, &live, self.look_until);
         self.counts.done += due.len() as u64;
+        self.counts.yielded = self.duties.yielded;
         self.out.extend(due.into_iter().map(Act::Do));
     }
 
