Borrowed units are not lent on; loans of cold nodes' budgets taken out again

Found by a drawn case of the new property test, 13 units of 12: one that lent on what it had borrowed gave away room that ended before the loan did (lend.rs, asked). Borrowed units stay where they are now; the mutant is found by drawn cases.

Asks go in whole units, from one sharer to the next, more seldom where nothing comes.

--- a/crates/fleet/src/lend.rs
+++ b/crates/fleet/src/lend.rs
@@ -1,4 +1,4 @@
-//! Parts of an account, such as a volume's limit or a cold node's budget, that follow who needs them: units are lent for
+//! Parts of an account, a volume's limit, that follow who needs them: units are lent for
 //! [`LENGTH`] and end by themselves. Each initiator has its even part; what one can do without goes to one that waits.
 //!
 //! Units are taken from the giver's store before it says so, and count as gone there, with their room, until they have
@@ -71,6 +71,8 @@
     End,
     /// What is lent is taken from the giver's store.
     Sum,
+    /// What was borrowed is not lent on: when it lapses, the room that went on with it would be nobody's.
+    OwnOnly,
     /// News that came before are not counted again.
     Repeats,
     /// News count by when they were measured.
@@ -80,7 +82,7 @@
 }
 
 impl Safeguard {
-    pub const ALL: [(&'static str, Safeguard); 11] = [
+    pub const ALL: [(&'static str, Safeguard); 12] = [
         ("from-asking", Safeguard::FromAsking),
         ("drift", Safeguard::Drift),
         ("once", Safeguard::Once),
@@ -89,6 +91,7 @@
         ("back", Safeguard::Back),
         ("end", Safeguard::End),
         ("sum", Safeguard::Sum),
+        ("own-only", Safeguard::OwnOnly),
         ("repeats", Safeguard::Repeats),
         ("age", Safeguard::Age),
         ("fair", Safeguard::Fair),
@@ -129,6 +132,8 @@
 struct Mine {
     said_at: f64,
     needed_at: f64,
+    /// Who was asked last.
+    last: MemberId,
     asked: BTreeMap<MemberId, Ask>,
     /// Who asked here, when last, in which life and by which number.
     askers: BTreeMap<MemberId, (f64, u32, u32)>,
@@ -191,6 +196,7 @@
         put(f64::from(self.number));
         for mine in self.mine.values() {
             put(mine.needed_at);
+            put(f64::from(mine.last.0));
             for (member, ask) in &mine.asked {
                 let of = [f64::from(member.0), f64::from(ask.number), ask.at, ask.units, ask.wait];
                 of.into_iter().for_each(&mut put);
@@ -284,6 +290,7 @@
             let fresh = Mine {
                 said_at: f64::NEG_INFINITY,
                 needed_at: now,
+                last: self.me,
                 asked: BTreeMap::new(),
                 askers: BTreeMap::new(),
             };
@@ -312,14 +319,22 @@
         });
         let Some(mine) = self.mine.get_mut(&need.account) else { return };
         mine.needed_at = now;
-        // What is asked of several adds up to the need; the next look asks for the rest.
-        let units = (need.wants / others.len().max(1) as f64).max(LEAST);
-        for member in others {
+        // What is asked of several adds up to the need, in whole units: what comes in pieces too small to be used is
+        // gone for all of its time. The next look asks others, from the one behind the last on, for the rest.
+        let count = (need.wants.ceil() as usize).clamp(1, others.len().max(1));
+        let units = (need.wants / count as f64).max(LEAST);
+        let from = others.iter().position(|member| *member > mine.last).unwrap_or(0);
+        let (mut left, turn) = (count, others[from..].iter().chain(&others[..from]).copied());
+        for member in turn {
+            if left == 0 {
+                break;
+            }
             let before = mine.asked.get(&member);
             if before.is_some_and(|ask| now - ask.at < ask.wait) {
                 continue;
             }
             let wait = before.map_or(AGAIN, |ask| (2.0 * ask.wait).min(MOST_WAIT));
+            (left, mine.last) = (left - 1, member);
             self.number = self.number.wrapping_add(1);
             mine.asked.insert(member, Ask { number: self.number, at: now, units, wait });
             self.counts.asked += 1;
@@ -416,10 +431,12 @@
         let most = if without_fair { need.spare } else { need.spare.min(even) };
         // In steps that the wire carries exactly.
         let units = (units.min(most) * STEPS).floor() / STEPS;
-        if units < LEAST || self.given.len() >= MOST_LOANS {
+        let borrowed = self.taken.iter().any(|loan| loan.account == account && now < loan.until);
+        let not_own = borrowed && !self.lacks(Safeguard::OwnOnly);
+        if units < LEAST || self.given.len() >= MOST_LOANS || not_own {
             return;
         }
-        let wait = if self.lacks(Safeguard::Drift) { LENGTH } else { gone() } + need.rest;
+        let wait = if self.lacks(Safeguard::Drift) { LENGTH } else { gone() };
         let until = now + wait;
         if self.lacks(Safeguard::Sum) || ledger.moved(now, account, -units, until) {
             self.given.push(Loan { account, with: from, number, life, units, until });
--- a/crates/fleet/src/signal.rs
+++ b/crates/fleet/src/signal.rs
@@ -345,6 +345,9 @@
     /// Whether answers are told, and units lent.
     pub tells: bool,
     pub lends: bool,
+    /// What a full message costs, in parts of the result; 0: nothing. News are told only where it is nothing: they
+    /// showed no gain where they cost (docs/results-fleet.md).
+    pub price: f64,
     /// A safeguard taken away, for tests of the tests only.
     pub without: Option<Safeguard>,
 }
@@ -372,7 +375,8 @@
 }
 
 impl Signals {
-    pub fn start(now: f64, figures: Figures) -> Signals {
+    pub fn start(now: f64, mut figures: Figures) -> Signals {
+        figures.tells &= figures.price == 0.0;
         let mut chance = WyRand::new_seed(figures.seed ^ 0x51a);
         // Not all members at one instant.
         let spread = chance.generate::<f64>();
--- a/crates/programs/src/bin/gateway.rs
+++ b/crates/programs/src/bin/gateway.rs
@@ -160,6 +160,7 @@
         seed,
         tells: matches!(how, Signalled::News | Signalled::All),
         lends: matches!(how, Signalled::Parts | Signalled::All),
+        price: 0.0,
         without: arguments.without,
     };
     (how != Signalled::None && !arguments.careless).then_some(figures)
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -200,7 +200,7 @@
     None,
     /// What their answers told of nodes.
     News,
-    /// Parts of volumes' limits and of cold nodes' budgets.
+    /// Parts of volumes' limits.
     Parts,
     #[default]
     All,
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -222,15 +222,8 @@
     let Some(me) = me.filter(|_| pairs.flag("Ceilings.Peers")) else { return Ok(None) };
     let members: Vec<MemberId> = (0..all.clamp(1.0, 65535.0) as u16).map(MemberId).collect();
     let life = (now.max(0.0) * 100.0) as u32;
-    let figures = Figures {
-        me: MemberId(me),
-        members,
-        life,
-        seed,
-        tells: std::env::var("QP_TELL").is_ok(),
-        lends: std::env::var("QP_LEND").is_ok(),
-        without: None,
-    };
+    let (tells, lends, price) = (true, true, pairs.number("Deductions.Peer")?);
+    let figures = Figures { me: MemberId(me), members, life, seed, tells, lends, price, without: None };
     Ok(Some(Signals::start(now, figures)))
 }
 
@@ -370,7 +363,7 @@
             });
             let (mut settings, names, signals) =
                 decoded.map_err(|what| format!("START: field Params: {what}"))?;
-            settings.hold = if signals.is_some() && std::env::var("QP_HOLD").is_ok() { gone() } else { 0.0 };
+            settings.hold = if signals.is_some() { gone() } else { 0.0 };
             let brain = Brain::start(now, seed, settings, out);
             let mut instance = Instance { brain, names, signals, rings_at: f64::NEG_INFINITY };
             instance.settle(now, out);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,6 @@
 //! All decisions of one initiator. The caller makes a [`Brain`] with `Brain::start`, then calls one method
-//! for each event, in order, with the clock time `now`; what the brain wants done leaves through the `Outbox`
-//! in that same call. `types.rs` has ids, settings and actions, `state.rs` what is remembered; `ring.rs` and
-//! `store.rs` only add up.
+//! for each event, in order, with the clock time `now`; what it wants done leaves through the `Outbox` in
+//! that same call. `types.rs`: ids, settings, actions; `state.rs`: what is remembered; the rest only adds up.
 
 #![allow(clippy::too_many_arguments)] // events come as plain arguments
 
@@ -19,10 +18,10 @@
 const RUN_PART: f64 = 0.1;
 const RECENT: usize = 2; // extents remembered for the run test: other initiators push older ones out
 const MOST_OUT: f64 = 20.0; // the design's bound on shots out at one node for one initiator
-/// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where the
-/// mechanism still has the choice. Even one shot from each initiator can be a queue, so slack waits past the
-/// second figure and, over the volume's initiators, the third, by the fourth at most: a surge comes through
-/// all of them at once. Past the last the reserves wait too, or single shots keep a jam up without end.
+/// Mean share of the due time that a shot may spend at the node; the rest is for waiting here, where there is
+/// still a choice. Even one shot from each initiator can be a queue, so slack waits past the second figure
+/// and, over the volume's initiators, the third, by the fourth at most: a surge comes through all at once.
+/// Past the last the reserves wait too, or single shots keep a jam up without end.
 const NODE_PART: f64 = 0.1;
 const SLACK_PART: f64 = 0.15;
 const SLACK_ALONE: f64 = 1.0;
@@ -31,7 +30,7 @@
 /// A new object waits by this many mean stays of all nodes: it finds a quick one while what is fixed can't.
 const MOVABLE: f64 = 2.0;
 const FEW: f64 = 3.0; // seconds over which use is compared
-const LONG: f64 = 20.0; // seconds over which work at a node is averaged: at size one sees one every ten seconds
+const LONG: f64 = 20.0; // seconds over which work at a node is averaged: at size it is one in ten seconds
 const HEARSAY: f64 = 0.5; // what another's answer counts: it is late, and may not be so
 const PRIOR: f64 = 3.0; // answers that a wider measure counts for where a narrower one has few
 /// Share of time-outs, at a node that is quick otherwise, that means lost answers; and the stays waited then.
@@ -154,8 +153,7 @@
                 elsewhere.for_each(|t| t.late_at = f64::INFINITY); // holds no credit here
                 let known = started > 0.0 && self.set.overload_for > 0.0;
                 let warm_at = if known { started + self.set.cold_for + self.set.overload_for } else { 0.0 };
-                let account = Account::of_start(*block, started);
-                let fresh = Post { warm_at, usual, usual_at, account, ..self.fresh_post() };
+                let fresh = Post { warm_at, usual, usual_at, ..self.fresh_post() };
                 let post = Post { node, started, lines, again, out, ..fresh };
                 self.posts.insert(*block, post);
             }
@@ -260,10 +258,8 @@
     pub fn shared(&mut self, now: f64, shared: Shared, out: &mut impl Outbox) -> bool {
         match shared {
             Shared::Stay(block, stay, answers, ago) => {
-                let weight = answers * HEARSAY;
-                let post = self.posts.get_mut(&block);
-                post.into_iter().for_each(|post| post.others.add_at(now, now - ago, stay * weight, weight));
-                true
+                let (post, weight) = (self.posts.get_mut(&block), answers * HEARSAY);
+                post.is_some_and(|post| post.others.add_at(now, now - ago, stay * weight, weight))
             }
             Shared::Units(account, units, until) => {
                 now < until && self.moved(now, account, units, until, out)
@@ -276,60 +272,38 @@
         if let Some(name) = name.map(|(name, _)| name.clone()) {
             self.fill(now, &name);
             let done = self.volumes.get_mut(&name).unwrap().limit.shift(units, until);
-            let waits = |block: &&BlockId| self.posts[*block].lines.contains_key(&name);
-            let blocks: Vec<BlockId> = self.posts.keys().filter(waits).copied().collect();
-            blocks.into_iter().filter(|_| units > 0.0).for_each(|block| self.pump(now, block, out));
+            let blocks: Vec<BlockId> = self.posts.keys().filter(|_| units > 0.0).copied().collect();
+            blocks.into_iter().for_each(|block| self.pump(now, block, out));
             return done;
         }
-        let block = self.posts.iter().find(|(_, post)| post.account == account).map(|(block, _)| *block);
-        let Some(block) = block.filter(|block| self.cold(now, *block)) else { return false };
-        let done = units > 0.0 || self.young_left(now, block) + units >= 0.0;
-        if done {
-            self.post(block).moved.add(units, until);
-            self.pump(now, block, out);
-        }
-        done
+        false
     }
 
     /// Accounts that are shared with others, and how each stands here.
     pub fn needs(&mut self, now: f64) -> Vec<Need> {
-        let mut waits: BTreeMap<Account, f64> = BTreeMap::new();
+        let mut waits: BTreeMap<VolumeId, f64> = BTreeMap::new();
         let waiting = self.transactions.values().filter(|t| t.state == State::Waiting);
-        let waiting: Vec<_> = waiting.map(|t| (t.volume.clone(), t.block, t.units)).collect();
-        for (name, block, units) in waiting {
-            *waits.entry(self.posts[&block].account).or_default() += units;
+        for (name, block, units) in waiting.map(|t| (t.volume.clone(), t.block, t.units)).collect::<Vec<_>>()
+        {
             // More of its limit helps only what its node has room for.
             if self.stay(now, block) <= self.room(now, &name, 1, false) && now < self.posts[&block].until {
-                *waits.entry(self.volumes[&name].account).or_default() += units;
+                *waits.entry(name).or_default() += units;
             }
         }
-        let mut needs = Vec::new();
-        let mut need = |account: Account, left: f64, keep: f64, rest: f64| {
-            let over = left - waits.get(&account).copied().unwrap_or(0.0);
-            needs.push(Need { account, spare: (over - keep).max(0.0), wants: (-over).max(0.0), rest });
+        let limited = |(_, volume): &(_, &Volume)| self.set.plans[volume.plan.0].limit > 0.0;
+        let names: Vec<_> = self.volumes.iter().filter(limited).map(|(name, _)| name.clone()).collect();
+        let need = |name: VolumeId| {
+            self.fill(now, &name);
+            let volume = self.volumes.get_mut(&name).unwrap();
+            let over = volume.limit.level - waits.get(&name).copied().unwrap_or(0.0);
+            // A second's use of its own is kept.
+            let keep = volume.usage.sum(now) / FEW / self.unit_time;
+            Need { account: volume.account, spare: (over - keep).max(0.0), wants: (-over).max(0.0) }
         };
-        for name in self.volumes.keys().cloned().collect::<Vec<_>>() {
-            if self.plan(&name).limit > 0.0 && self.volumes[&name].initiators > 1.0 {
-                self.fill(now, &name);
-                let volume = self.volumes.get_mut(&name).unwrap();
-                // A second's use of its own is kept.
-                let keep = volume.usage.sum(now) / FEW / self.unit_time;
-                need(volume.account, volume.limit.level, keep, 0.0);
-            }
-        }
-        for block in self.posts.keys().copied().collect::<Vec<_>>() {
-            // Claims add up over those that use the node: nobody else has one to lend.
-            let user = self.asked.get(&block).is_some_and(|asked| *asked >= 1.0);
-            let window = self.set.overload_for;
-            if user && self.cold(now, block) && now >= self.started + window + self.set.hold {
-                let left = self.young_left(now, block);
-                need(self.posts[&block].account, left, 0.0, window);
-            }
-        }
-        needs
+        names.into_iter().map(need).collect()
     }
 
-    /// How many volumes and ordered keys are held, for those who watch memory.
+    /// Volumes and ordered keys held, for those who watch memory.
     pub fn accounts(&self) -> (usize, usize) {
         (self.volumes.len(), self.turns.len())
     }
@@ -399,7 +373,6 @@
     }
 
     // The ordinary path.
-
     fn pump(&mut self, now: f64, block: BlockId, out: &mut impl Outbox) {
         loop {
             let post = self.post(block);
@@ -433,7 +406,7 @@
         let fleet = self.fleet.blend(now, 0.0, PRIOR);
         let lossy = self.lossy(now, block);
         let post = self.posts.get_mut(&block).unwrap();
-        // What others saw stands in where there is nothing of one's own: it is late, and all of them would follow it.
+        // Only where there is nothing of one's own: what others saw is late, and all would follow it.
         let hearsay = post.others.known(now) && !post.stays.known(now);
         let wide = if hearsay { post.others.blend(now, fleet, PRIOR) } else { fleet };
         let wide = post.stays.blend(now, wide, PRIOR);
@@ -673,7 +646,6 @@
     }
 
     // Exceptions.
-
     /// Where a new object goes: the node with the most credit left, by chance among equals.
     fn place(&mut self, now: f64, units: f64) -> BlockId {
         let mut best = (f64::NEG_INFINITY, BlockId(0));
@@ -740,7 +712,6 @@
     }
 
     // Guards of the rules.
-
     /// No effect twice, shots within their number and budget.
     fn may_send(&mut self, now: f64, id: TransactionId) -> bool {
         let t = &self.transactions[&id];
@@ -802,40 +773,26 @@
         (mean + CROWDED * mean.sqrt()).min(self.set.initiators)
     }
 
-    /// This initiator's claim upon a cold node in the rule's window: an even part of what it bears when just up, or if
-    /// more a part of what the node before settled for this initiator, grown as the slowest node warms.
-    fn claim(&mut self, now: f64, block: BlockId) -> f64 {
+    /// Whether a cold node bears this in the rule's window: an even part of what it bears when just up, or if
+    /// more a part of what the node before settled for this initiator, grown as the slowest node warms. Less
+    /// than a mean transaction is saved up until it is one, from a start by chance: initiators spread.
+    fn young_bears(&mut self, now: f64, block: BlockId, units: f64) -> bool {
         let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
-        let (window, many) = (self.set.overload_for, self.set.fall_multiple);
-        let bears = self.set.young_units.max(self.set.mean_units) / self.users();
-        let post = self.post(block);
+        let (mean, window) = (self.set.mean_units, self.set.overload_for);
+        let bears = self.set.young_units.max(mean) / self.users();
+        let phase = self.chance.generate::<f64>();
+        let post = self.posts.get_mut(&block).unwrap();
         let age = (now - post.started - window).clamp(0.0, warm);
         let warmth = first + (1.0 - first) * age / warm;
         // Others may have taken over work that this initiator had long before the start.
         let old = 2.0 * LONG / (post.started - post.usual_at).max(2.0 * LONG);
-        let usual = YOUNG_PART * many * post.usual * old * window;
-        (bears / first).max(usual) * warmth
-    }
-
-    fn young_left(&mut self, now: f64, block: BlockId) -> f64 {
-        let claim = self.claim(now, block);
-        let post = self.posts.get_mut(&block).unwrap();
-        post.moved.lapse(now);
-        claim + post.moved.net(now) - post.young.sum(now)
-    }
-
-    /// Whether a cold node bears this. A claim of less than a mean transaction is saved up until it is one, from a
-    /// start by chance: initiators spread. What was lent lowers both, what was borrowed counts for whole ones alone.
-    fn young_bears(&mut self, now: f64, block: BlockId, units: f64) -> bool {
-        let (claim, phase) = (self.claim(now, block), self.chance.generate::<f64>());
-        let (mean, window) = (self.set.mean_units, self.set.overload_for);
-        let post = self.posts.get_mut(&block).unwrap();
-        let moved = post.moved.net(now);
+        let usual = YOUNG_PART * self.set.fall_multiple * post.usual * old * window;
+        let part = (bears / first).max(usual) * warmth;
         let (saved, at) = post.saved.unwrap_or((phase * mean, now));
-        let saved = (saved + (claim + moved.min(0.0)) * (now - at) / window).min(units.max(mean));
+        let saved = (saved + part * (now - at) / window).min(units.max(mean));
         post.saved = Some((saved, now));
-        now >= self.started + window + self.set.hold
-            && (claim + moved - post.young.sum(now) >= units || (claim < mean && saved >= units.max(mean)))
+        now >= self.started + window
+            && (part - post.young.sum(now) >= units || (part < mean && saved >= units.max(mean)))
     }
 
     fn spread(&mut self) -> f64 {
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -31,15 +31,17 @@
         self.buckets[at].1 += weight;
     }
 
-    /// As [`Ring::add`], of an earlier time; nothing where that is over.
-    pub fn add_at(&mut self, now: f64, at: f64, amount: f64, weight: f64) {
+    /// As [`Ring::add`], of an earlier time; false, and nothing done, where that is over.
+    pub fn add_at(&mut self, now: f64, at: f64, amount: f64, weight: f64) -> bool {
         self.turn(now);
         let epoch = (at / self.width).floor() as i64;
         let length = self.buckets.len() as i64;
-        if (self.epoch - length + 1..=self.epoch).contains(&epoch) {
+        let known = (self.epoch - length + 1..=self.epoch).contains(&epoch);
+        if known {
             let bucket = &mut self.buckets[epoch.rem_euclid(length) as usize];
             (bucket.0, bucket.1) = (bucket.0 + amount, bucket.1 + weight);
         }
+        known
     }
 
     fn totals(&mut self, now: f64) -> (f64, f64) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::ring::Ring;
-use crate::store::{Moved, Store};
+use crate::store::Store;
 use crate::types::*;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -77,9 +77,6 @@
     pub lost: Ring,
     /// Units sent to it over the window of the rule on cold nodes.
     pub young: Ring,
-    /// Units of that budget that were lent, and its name among those who lend.
-    pub moved: Moved,
-    pub account: Account,
     /// Units saved up for it while it is cold, and up to when.
     pub saved: Option<(f64, f64)>,
     /// Units that it settled while warm, and how many a second that was up to its last answer then.
--- a/src/types.rs
+++ b/src/types.rs
@@ -19,25 +19,15 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PlanId(pub usize);
 
-/// What initiators share, and may lend each other parts of: a volume's limit, or the budget of a node that is cold. The
-/// same at all, without talk; FNV-1a of what it is.
+/// What initiators share and may lend each other parts of: a volume's limit. The same at all, without talk: FNV-1a of
+/// the volume's name.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Account(pub u64);
 
 impl Account {
-    fn of(kind: u8, name: &[u8]) -> Account {
-        let mix = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
-        Account([kind].iter().chain(name).fold(0xcbf2_9ce4_8422_2325, mix))
-    }
-
     pub fn of_limit(volume: &VolumeId) -> Account {
-        Account::of(0, volume.0.as_bytes())
-    }
-
-    /// Of the node that holds this block and started then, to a tenth of a second.
-    pub fn of_start(block: BlockId, started: f64) -> Account {
-        let tenths = (started * 10.0).round() as i64;
-        Account::of(1, &[block.0.to_le_bytes(), tenths.to_le_bytes()].concat())
+        let mix = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        Account(volume.0.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, mix))
     }
 }
 
@@ -49,8 +39,6 @@
     pub spare: f64,
     /// What waits for more than is there.
     pub wants: f64,
-    /// Seconds for which units still count once they are spent.
-    pub rest: f64,
 }
 
 /// What other initiators had to say.
