--- a/crates/fleet/src/lend.rs
+++ b/crates/fleet/src/lend.rs
@@ -347,7 +347,8 @@
         for at in 0..self.taken.len() {
             let Loan { account, with, number, life, units, until } = self.taken[at].clone();
             let units = (units.min(spare) * STEPS).floor() / STEPS;
-            if account != need.account || units < LEAST || now >= until {
+            // A loan without an end is kept for good.
+            if account != need.account || units < LEAST || now >= until || until.is_infinite() {
                 continue;
             }
             if ledger.moved(now, account, -units, until) {
--- /dev/null
+++ b/crates/programs/tests/shares.rs
@@ -0,0 +1,134 @@
+//! Several processes of the program that lend each other parts of limits, with faults between them: rules judged over
+//! all of them from what targets and clients saw, and each of two baselines caught by the same judge.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use serde_json::Value;
+use test_case::test_case;
+
+/// Loaded machines take their times late; the rule's slack is far wider.
+const TRANSIT: &str = "0.3";
+const SHARES: &str = r#"<share band="look-up" part="0.6"/><share band="purchase" part="0.3"/><share band="export" part="0.1"/>"#;
+
+/// Six gateways; volume 2 asks for far more than its limit in the spans given, through four of them.
+fn write(name: &str, lasts: u32, surges: &[(u32, u32)], troubles: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("quaypath-parts-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples").canonicalize().unwrap();
+    let surge =
+        |(at, lasts): &(u32, u32)| format!(r#"<surge at="{at}" lasts="{lasts}" times="120" volume="2"/>"#);
+    let lead = |(at, _): &(u32, u32)| format!(r#"<lead-change at="{at}" part="1"/>"#);
+    let leads: String = surges.iter().map(lead).collect();
+    let surges: String = surges.iter().map(surge).collect();
+    let text = format!(
+        r#"<day name="{name}" deployment="{}" seed="9" lasts="{lasts}" transit="{TRANSIT}">
+<fleet gateways="6" nodes="8" cores="2" unit-time="0.004" run-part="0.5" put-off="0.3" flush-every="2"
+ queue="50" warm-after="8" cancel-stops="true" notice="1"/>
+<traffic rate="40" retries="1">{SHARES}{}{}</traffic>{troubles}</day>"#,
+        samples.join("rail-parts.xml").display(),
+        surges,
+        leads,
+    );
+    let path = folder.join("day.xml");
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn run(day: &Path, more: &[&str]) -> (Output, Value) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-day"));
+    command.arg("run").arg(day).arg("--folder").arg(day.with_file_name("out"));
+    let output = command.args(["--format", "json"]).args(more).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    let read = serde_json::from_str(&text);
+    let read =
+        read.unwrap_or_else(|error| panic!("{error}: {text}{}", String::from_utf8_lossy(&output.stderr)));
+    (output, read)
+}
+
+/// Loans that gateways took, by their own count: only to see that the run was not a quiet one.
+fn taken(result: &Value) -> u64 {
+    let books = result["books"].as_object().unwrap().values();
+    books.map(|book| book["signals"]["taken"].as_u64().unwrap_or(0)).sum()
+}
+
+/// Grants lost, late, twice and out of order; a giver that starts again without memory while its loans are in use.
+const GIVERS_FORGET: &str = r#"
+<fault kind="lose" at="1" lasts="16" from="gateways" to="gateways" size="0.2"/>
+<fault kind="repeat" at="1" lasts="16" from="gateways" to="gateways" size="0.3"/>
+<fault kind="reorder" at="1" lasts="16" from="gateways" to="gateways" size="0.3"/>
+<fault kind="delay" at="8" lasts="8" from="gateways" to="gateways" size="0.08"/>
+<fault kind="forget" at="4" lasts="0" node="4" returns="0.1"/>
+<fault kind="forget" at="7" lasts="0" node="5" returns="0.1"/>
+<fault kind="forget" at="10" lasts="0" node="0" returns="0.1"/>"#;
+/// Takers that stand still for longer than a loan with transactions held, and go on; a clock 5% fast.
+const TAKERS_STOP: &str = r#"
+<fault kind="stop" at="4" lasts="1.2" node="4"/>
+<fault kind="stop" at="7" lasts="1.2" node="5"/>
+<fault kind="stop" at="10" lasts="0.7" node="0"/>
+<fault kind="clock" at="1" lasts="16" node="5" size="1.05"/>"#;
+/// Both sides of a cut lend the same part; news pass one way only; one shouts, one tells old news.
+const SIDES: &str = r#"
+<fault kind="cut" at="3" lasts="4" from="0-2" to="3-5"/>
+<fault kind="one-way" at="9" lasts="4" from="4-5" to="0-3"/>
+<fault kind="shouts" at="2" lasts="14" node="1"/>
+<fault kind="stale-news" at="2" lasts="14" node="3"/>"#;
+/// Seven in ten killed at once come back together.
+const MOST_KILLED: &str = r#"
+<fault kind="forget" at="6" lasts="0" part="0.7" returns="0.5"/>
+<fault kind="garble" at="1" lasts="16" from="gateways" to="gateways" size="0.1"/>"#;
+
+#[test_case("forget", GIVERS_FORGET, "Repeat"; "givers without memory, grants late and twice")]
+#[test_case("stop", TAKERS_STOP, ""; "takers that stand still")]
+#[test_case("sides", SIDES, "Cut"; "two sides, and one that shouts")]
+#[test_case("most", MOST_KILLED, "Garble"; "seven in ten killed at once")]
+fn all_together_stay_inside_the_limit(name: &str, troubles: &str, struck: &str) {
+    let day = write(name, 18, &[(2, 4), (7, 4), (12, 4)], troubles);
+    let (output, result) = run(&day, &[]);
+    assert!(output.status.success(), "{} {}", result["report"]["promises"], result["report"]["breaches"]);
+    assert!(struck.is_empty() || result["struck"][struck].as_u64().unwrap_or(0) > 0, "{}", result["struck"]);
+    assert!(taken(&result) > 10, "a quiet run: {}", result["books"]);
+    std::fs::remove_dir_all(day.parent().unwrap()).unwrap();
+}
+
+/// The same judge catches grants that are not taken from the giver, and grants without an end.
+#[test_case("sum"; "claims without a sum")]
+#[test_case("end"; "grants without an end")]
+fn a_baseline_without_this_passes_the_limit(without: &str) {
+    // Room that has no end fills while nobody asks, and goes all at once.
+    let day = write(&format!("without-{without}"), 26, &[(1, 6), (8, 6), (23, 3)], "");
+    let (output, result) = run(&day, &["--without", without]);
+    let broken = result["report"]["breaches"].as_array().unwrap();
+    assert!(broken.iter().any(|breach| breach["rule"] == "Limits"), "{}", result["report"]["shares"]);
+    assert_eq!(output.status.code(), Some(1));
+    std::fs::remove_dir_all(day.parent().unwrap()).unwrap();
+}
+
+/// More of the limit is used than with even parts, by the same traffic.
+#[test]
+fn the_part_follows_the_lead() {
+    let used = |name: &str, signals: &str| {
+        let day = write(name, 14, &[(2, 10)], "");
+        let (output, result) = run(&day, &["--signals", signals]);
+        assert!(output.status.success(), "{}", result["report"]["breaches"]);
+        std::fs::remove_dir_all(day.parent().unwrap()).unwrap();
+        let bytes =
+            result["books"].as_object().unwrap().values().filter(|book| !book["signals"].is_null()).count();
+        assert_eq!(bytes > 0, signals == "all", "off is off");
+        result["report"]["shares"]["limit_used"].as_f64().unwrap()
+    };
+    let (lent, even) = (used("lent", "all"), used("even", "none"));
+    assert!(lent > even, "{lent} of the limit lent, {even} in even parts");
+}
+
+#[test_case(&["--without", "nothing"], "from-asking"; "a safeguard that there is not")]
+#[test_case(&["--signals", "loud"], "none, news, parts or all"; "signals that there are not")]
+fn a_wrong_word_exits_2_with_one_message(arguments: &[&str], word: &str) {
+    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-gateway"));
+    command.arg("--settings").arg(samples.join("rail-parts.xml")).args(["--list", "/tmp/none"]);
+    let output = command.args(arguments).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    assert!(text.contains(word) && !text.contains("panicked"), "{text}");
+}
--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -51,3 +51,31 @@
     assert!(!success);
     assert_eq!(err.trim_end(), format!("quaypath-wirehost: {message}"));
 }
+
+/// Two initiators that may talk, a volume of a plan with a limit through both: one tells the other that it shares it, in
+/// a signal of version 1, and noise in a signal's place changes nothing.
+#[test]
+fn signals_go_out_and_come_in_where_peers_are_allowed() {
+    let start = |me: u8| {
+        let allowed = "Ceilings.Peers=true Policies.0.Cap=10 Policies.0.MostAtOnce=20";
+        let start = START.replace("Balancers=1", &format!("Balancers=2 Me={me} {allowed}"));
+        format!("SWITCH_TO initiator/{me}\nSHUTDOWN\n{start}\n{LIST}\n")
+    };
+    let ask = "REQ 7 0 2 basic read obj:k 0.5 2 p:v 0";
+    let first = format!(
+        "{}{}SWITCH_TO initiator/0\n{ask}\nSWITCH_TO initiator/1\n{ask}\nEOF_BATCH",
+        start(1),
+        start(0)
+    );
+    let first = first.replacen("SWITCH_TO initiator/1\nSHUTDOWN\n", "SWITCH_TO initiator/1\n", 1);
+    let noise = "CLOCK 3\nSWITCH_TO initiator/0\nPEER 1 ff00ff\nPEER 1 \nPEER 9 0100\nEOF_BATCH";
+    let (success, out, err) = run(&format!("{first}\n{noise}"));
+    assert!(success, "{err}");
+    let signals: Vec<&str> = out.lines().filter(|line| line.starts_with("SIGNAL ")).collect();
+    assert!(signals.contains(&signals.iter().find(|line| line.starts_with("SIGNAL 1 01")).unwrap()), "{out}");
+    assert!(signals.iter().all(|line| line.len() <= "SIGNAL 1 ".len() + 512), "{out}");
+    assert!(!out.contains("FATAL"), "{out}");
+    // Where they are not allowed nothing is said, and no timer runs for it.
+    let (_, out, _) = run(&format!("SWITCH_TO initiator/0\n{ask}\nEOF_BATCH"));
+    assert!(!out.contains("SIGNAL") && !out.contains("9223372036854775807"), "{out}");
+}
