--- a/crates/programs/tests/shares.rs
+++ b/crates/programs/tests/shares.rs
@@ -94,6 +94,18 @@
     std::fs::remove_dir_all(day.parent().unwrap()).unwrap();
 }
 
+/// Troubles of every kind drawn by seed, among them those of links and clocks, around a hot volume.
+#[test]
+fn storms_keep_the_rules() {
+    let day = write("storm", 8, 45, &[(1, 6)], "");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-day"));
+    let output = command.arg("storm").arg(&day).args(["--seeds", "2", "--lasts", "6"]).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+    assert_eq!(text.matches("rules kept").count(), 2, "{text}");
+    std::fs::remove_dir_all(day.parent().unwrap()).unwrap();
+}
+
 /// The same judge catches grants that are not taken from the giver, and grants without an end.
 #[test_case("sum"; "claims without a sum")]
 #[test_case("end"; "grants without an end")]
