One reader of fields and one window of numbers for datagrams and signals

Found on a last reading: signal.rs repeated the reader of message.rs and the window of the roll. Both call one piece now (fields.rs, Came).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod duty;
 pub mod explore;
+mod fields;
 pub mod figures;
 pub mod lend;
 pub mod message;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -16,6 +16,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::fields::{Fields, Short};
 use crate::{DutyId, MemberId, Status};
 
 /// Longest datagram, bytes: fits an Ethernet frame with room for tunnels.
@@ -114,34 +115,15 @@
     Foreign,
 }
 
-/// Decodes one field after the other; none past the end.
-struct Fields<'a>(&'a [u8]);
-
-impl Fields<'_> {
-    fn take<const N: usize>(&mut self) -> Result<[u8; N], Wrong> {
-        let (now, rest) = self.0.split_first_chunk::<N>().ok_or(Wrong::Bad)?;
-        self.0 = rest;
-        Ok(*now)
-    }
-
-    fn u8(&mut self) -> Result<u8, Wrong> {
-        self.take::<1>().map(|[byte]| byte)
-    }
-
-    fn u16(&mut self) -> Result<u16, Wrong> {
-        self.take().map(u16::from_le_bytes)
-    }
-
-    fn u32(&mut self) -> Result<u32, Wrong> {
-        self.take().map(u32::from_le_bytes)
-    }
-
-    fn u64(&mut self) -> Result<u64, Wrong> {
-        self.take().map(u64::from_le_bytes)
+impl From<Short> for Wrong {
+    fn from(_: Short) -> Wrong {
+        Wrong::Bad
     }
+}
 
+impl Fields<'_> {
     fn member(&mut self) -> Result<MemberId, Wrong> {
-        self.u16().map(MemberId)
+        Ok(MemberId(self.u16()?))
     }
 
     fn status(&mut self) -> Result<Status, Wrong> {
--- a/crates/fleet/src/roll.rs
+++ b/crates/fleet/src/roll.rs
@@ -21,8 +21,34 @@
     pub since: f64,
     pub suspectors: Vec<MemberId>,
     told: u8,
-    /// Datagrams of this life that came: the highest number, and a bit for each of the 64 up to it.
-    came: Option<(u32, u64)>,
+    /// Datagrams of this life that came.
+    came: Came,
+}
+
+/// Numbers of one life that came: the highest, and a bit for each of the 64 up to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Came(Option<(u32, u64)>);
+
+impl Came {
+    /// Whether this number is new; remembered if it is.
+    pub fn first(&mut self, number: u32) -> bool {
+        let Some((highest, seen)) = self.0 else {
+            self.0 = Some((number, 1));
+            return true;
+        };
+        if number > highest {
+            let moved = number - highest;
+            let seen = if moved < 64 { seen << moved | 1 } else { 1 };
+            self.0 = Some((number, seen));
+            return true;
+        }
+        let back = highest - number;
+        let new = back < 64 && seen & (1 << back) == 0;
+        if new {
+            self.0 = Some((highest, seen | 1 << back));
+        }
+        new
+    }
 }
 
 /// What news changed.
@@ -80,23 +106,7 @@
 
     /// Whether a datagram of a sender's life is new; remembered if it is.
     pub fn first(&mut self, member: MemberId, number: u32) -> bool {
-        let Some(Some(held)) = self.held.get_mut(&member) else { return true };
-        let Some((highest, seen)) = held.came else {
-            held.came = Some((number, 1));
-            return true;
-        };
-        if number > highest {
-            let moved = number - highest;
-            let seen = if moved < 64 { seen << moved | 1 } else { 1 };
-            held.came = Some((number, seen));
-            return true;
-        }
-        let back = highest - number;
-        let new = back < 64 && seen & (1 << back) == 0;
-        if new {
-            held.came = Some((highest, seen | 1 << back));
-        }
-        new
+        self.held.get_mut(&member).and_then(Option::as_mut).is_none_or(|held| held.came.first(number))
     }
 
     /// Takes news of a member on the list.
@@ -118,8 +128,10 @@
             _ => {
                 let before = slot.as_ref().map(|held| held.status);
                 let same = slot.as_ref().filter(|held| held.life == news.life);
-                let (told, came) =
-                    (slot.as_ref().map_or(0, |held| held.told), same.and_then(|held| held.came));
+                let (told, came) = (
+                    slot.as_ref().map_or(0, |held| held.told),
+                    same.map(|held| held.came).unwrap_or_default(),
+                );
                 *slot = Some(Held {
                     life: news.life,
                     incarnation: news.incarnation,
--- a/crates/fleet/src/signal.rs
+++ b/crates/fleet/src/signal.rs
@@ -20,7 +20,9 @@
 use nanorand::{Rng, WyRand};
 use quaypath::types::{Account, BlockId, Need};
 
+use crate::fields::{Fields, Short};
 use crate::lend::{Ledger, Lend, LendCounts, Safeguard, LOOK, MOST_TOLD};
+use crate::roll::Came;
 use crate::MemberId;
 
 /// Longest message, bytes: the simulator's wire allows no more.
@@ -95,29 +97,15 @@
     Version,
 }
 
-struct Fields<'a>(&'a [u8]);
-
-impl Fields<'_> {
-    fn take<const N: usize>(&mut self) -> Result<[u8; N], Wrong> {
-        let (now, rest) = self.0.split_first_chunk::<N>().ok_or(Wrong::Bad)?;
-        self.0 = rest;
-        Ok(*now)
-    }
-
-    fn u8(&mut self) -> Result<u8, Wrong> {
-        self.take::<1>().map(|[byte]| byte)
-    }
-
-    fn u16(&mut self) -> Result<u16, Wrong> {
-        self.take().map(u16::from_le_bytes)
-    }
-
-    fn u32(&mut self) -> Result<u32, Wrong> {
-        self.take().map(u32::from_le_bytes)
+impl From<Short> for Wrong {
+    fn from(_: Short) -> Wrong {
+        Wrong::Bad
     }
+}
 
+impl Fields<'_> {
     fn account(&mut self) -> Result<Account, Wrong> {
-        self.take().map(u64::from_le_bytes).map(Account)
+        Ok(Account(self.u64()?))
     }
 
     /// Units, finite and not below zero.
@@ -273,27 +261,7 @@
 struct Peer {
     life: u32,
     heard_at: f64,
-    /// The highest number that came, and a bit for each of the 64 up to it.
-    came: (u32, u64),
-}
-
-impl Peer {
-    /// Whether this number is new; remembered if it is.
-    fn first(&mut self, number: u32) -> bool {
-        let (highest, seen) = self.came;
-        let ahead = number.wrapping_sub(highest) as i32;
-        if ahead > 0 {
-            let seen = if ahead < 64 { seen << ahead | 1 } else { 1 };
-            self.came = (number, seen);
-            return true;
-        }
-        let back = ahead.unsigned_abs();
-        let new = back < 64 && seen & (1 << back) == 0;
-        if new {
-            self.came.1 |= 1 << back;
-        }
-        new
-    }
+    came: Came,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -555,7 +523,7 @@
         if from == self.figures.me || !self.figures.members.contains(&from) {
             return self.counts.unknown += 1;
         }
-        let fresh = Peer { life: signal.life, heard_at: now, came: (signal.number.wrapping_sub(1), 0) };
+        let fresh = Peer { life: signal.life, heard_at: now, came: Came::default() };
         let peer = self.peers.entry(from).or_insert_with(|| fresh.clone());
         if peer.life != signal.life {
             let newer = signal.life.wrapping_sub(peer.life) as i32 > 0;
@@ -565,7 +533,7 @@
             *peer = fresh;
         }
         peer.heard_at = now;
-        let first = peer.first(signal.number) || self.figures.without == Some(Safeguard::Repeats);
+        let first = peer.came.first(signal.number) || self.figures.without == Some(Safeguard::Repeats);
         self.counts.heard += 1;
         self.counts.repeated += u64::from(!first);
         let mut out = Vec::new();
