The timer of signals, the search for one account and the best claims each stand once

Found on a last reading: both adapters kept the timer of signals and sought one account among all in the same lines, now in Signals::settle and a default of Ledger; duties and sharers ranked claims by the same loop, now foremost; an unused way into the sharers and the branch that the loans of cold budgets left in the module are gone.

--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -33,6 +33,19 @@
     -f64::from(weight) / draw.ln()
 }
 
+/// The members with the best claims, best first, so many at most.
+pub fn foremost<C: PartialOrd>(claims: impl Iterator<Item = (C, MemberId)>, count: usize) -> Vec<MemberId> {
+    let mut line: Vec<(C, MemberId)> = Vec::with_capacity(count + 1);
+    for (claim, member) in claims {
+        let at = line.partition_point(|(better, _)| *better >= claim);
+        if at < count {
+            line.insert(at, (claim, member));
+            line.truncate(count);
+        }
+    }
+    line.into_iter().map(|(_, member)| member).collect()
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Last {
     at: f64,
@@ -103,16 +116,8 @@
             return;
         }
         for (duty, known) in &mut self.known {
-            let mut line: Vec<(f64, MemberId)> = Vec::with_capacity(IN_LINE + 1);
-            for (member, weight) in live {
-                let claim = claim(*duty, *member, *weight);
-                let at = line.partition_point(|(better, _)| *better >= claim);
-                if at < IN_LINE {
-                    line.insert(at, (claim, *member));
-                    line.truncate(IN_LINE);
-                }
-            }
-            known.line = line.into_iter().map(|(_, member)| member).collect();
+            let claims = live.iter().map(|(member, weight)| (claim(*duty, *member, *weight), *member));
+            known.line = foremost(claims, IN_LINE);
         }
     }
 
--- a/crates/fleet/src/lend.rs
+++ b/crates/fleet/src/lend.rs
@@ -15,6 +15,7 @@
 use quaypath::types::{Account, Need};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::duty::foremost;
 use crate::signal::Part;
 use crate::MemberId;
 
@@ -103,7 +104,9 @@
     /// Accounts that are shared with others, and what each can do without or waits for.
     fn needs(&mut self, now: f64) -> Vec<Need>;
     /// One of them, if it is here.
-    fn need(&mut self, now: f64, account: Account) -> Option<Need>;
+    fn need(&mut self, now: f64, account: Account) -> Option<Need> {
+        self.needs(now).into_iter().find(|need| need.account == account)
+    }
     /// Units come or go, and count up to `until`; false, and nothing done, where they are not there.
     fn moved(&mut self, now: f64, account: Account, units: f64, until: f64) -> bool;
 }
@@ -237,19 +240,13 @@
 
     /// Who knows the sharers of an account: the same for all that hold the same members live.
     fn knowers(&self, account: Account) -> Vec<MemberId> {
-        let mut line: Vec<(u64, MemberId)> = Vec::with_capacity(KNOWERS + 1);
-        for member in self.members.iter().filter(|member| !self.dead.contains(member)) {
+        let claim = |member: &MemberId| {
             let mut bytes = [0; 10];
             bytes[..8].copy_from_slice(&account.0.to_le_bytes());
             bytes[8..].copy_from_slice(&member.0.to_le_bytes());
-            let claim = xxh3_64(&bytes);
-            let at = line.partition_point(|(better, _)| *better >= claim);
-            if at < KNOWERS {
-                line.insert(at, (claim, *member));
-                line.truncate(KNOWERS);
-            }
-        }
-        line.into_iter().map(|(_, member)| member).collect()
+            (xxh3_64(&bytes), *member)
+        };
+        foremost(self.members.iter().filter(|member| !self.dead.contains(member)).map(claim), KNOWERS)
     }
 
     /// Remembers a sharer; whether it is new.
@@ -415,11 +412,11 @@
         let Some(need) = ledger.need(now, account) else { return };
         let without_fair = self.lacks(Safeguard::Fair);
         let Some(mine) = self.mine.get_mut(&account) else { return };
-        let seen = mine.askers.insert(from, (now, life, number));
-        if seen.is_some_and(|(_, known, last)| known == life && number.wrapping_sub(last) as i32 <= 0) {
-            mine.askers.extend(seen.map(|seen| (from, seen)));
+        let before = mine.askers.get(&from);
+        if before.is_some_and(|(_, known, last)| *known == life && number.wrapping_sub(*last) as i32 <= 0) {
             return;
         }
+        mine.askers.insert(from, (now, life, number));
         mine.askers.retain(|_, (at, ..)| now - *at < LENGTH);
         let askers = mine.askers.len() as f64;
         self.shares(now, account, from);
--- a/crates/fleet/src/signal.rs
+++ b/crates/fleet/src/signal.rs
@@ -338,6 +338,8 @@
     room: (f64, f64),
     tell_at: f64,
     look_at: f64,
+    /// When the host's timer rings next.
+    rings_at: f64,
     manner: Manner,
     counts: SignalCounts,
 }
@@ -359,6 +361,7 @@
             room: (MOST_SENT, now),
             tell_at: now + TELL * spread,
             look_at: now + LOOK * spread,
+            rings_at: f64::NEG_INFINITY,
             manner: Manner::Well,
             counts: SignalCounts::default(),
             chance,
@@ -376,11 +379,6 @@
         SignalCounts { lend: self.lend.counts.clone(), ..self.counts.clone() }
     }
 
-    /// That these share an account, where that is known from elsewhere.
-    pub fn shares(&mut self, now: f64, account: Account, member: MemberId) {
-        self.lend.shares(now, account, member);
-    }
-
     /// What is held of a member changed.
     pub fn holds(&mut self, member: MemberId, dead: bool) {
         self.lend.holds(member, dead);
@@ -402,6 +400,17 @@
         self.budget = (self.budget + BYTES).min(BYTES * 200.0);
     }
 
+    /// Takes what was seen in this turn and does what is due; when the host's timer is to be set for, where none runs.
+    pub fn settle(&mut self, now: f64, seen: Vec<(BlockId, f64)>, host: &mut impl Host) -> Option<f64> {
+        seen.into_iter().for_each(|(block, stay)| self.seen(now, block, stay));
+        if now >= self.next_at() {
+            self.tick(now, host);
+        }
+        let next = Some(self.next_at()).filter(|at| at.is_finite() && self.rings_at <= now);
+        self.rings_at = next.unwrap_or(self.rings_at);
+        next
+    }
+
     /// Does what is due.
     pub fn tick(&mut self, now: f64, host: &mut impl Host) {
         if self.figures.lends && now >= self.look_at {
--- a/crates/initiator/src/shares.rs
+++ b/crates/initiator/src/shares.rs
@@ -17,8 +17,6 @@
 
 pub struct Shares {
     pub signals: Signals,
-    /// When its timer rings next, by the instance's clock.
-    pub rings_at: f64,
     pub tells: VecDeque<(MemberId, Vec<u8>)>,
     pub tells_ready: Rc<Notify>,
 }
@@ -26,20 +24,13 @@
 impl Shares {
     pub fn new(signals: Signals) -> Shares {
         let (tells, tells_ready) = (VecDeque::new(), Rc::default());
-        Shares { signals, rings_at: f64::NEG_INFINITY, tells, tells_ready }
+        Shares { signals, tells, tells_ready }
     }
 
     /// Gives the signals what the core saw, and a turn if one is due; when the timer is to be set for, if anew.
     pub fn settle(&mut self, now: f64, core: &mut dyn Core, actions: &mut Actions) -> Option<f64> {
-        for (block, stay) in actions.1.iter_mut().flat_map(std::mem::take) {
-            self.signals.seen(now, block, stay);
-        }
-        if now >= self.signals.next_at() {
-            self.turn(core, actions, |signals, books| signals.tick(now, books));
-        }
-        let next = Some(self.signals.next_at()).filter(|at| at.is_finite() && self.rings_at <= now);
-        self.rings_at = next.unwrap_or(self.rings_at);
-        next
+        let seen = actions.1.as_mut().map(std::mem::take).unwrap_or_default();
+        self.turn(core, actions, |signals, books| signals.settle(now, seen, books))
     }
 
     /// A member's message.
@@ -49,14 +40,16 @@
         self.turn(core, actions, |signals, books| signals.heard(now, from, bytes, books));
     }
 
-    fn turn(
-        &mut self, core: &mut dyn Core, actions: &mut Actions, act: impl FnOnce(&mut Signals, &mut Books),
-    ) {
+    fn turn<R>(
+        &mut self, core: &mut dyn Core, actions: &mut Actions,
+        act: impl FnOnce(&mut Signals, &mut Books) -> R,
+    ) -> R {
         let waiting = self.tells.len();
-        act(&mut self.signals, &mut Books { core, actions, tells: &mut self.tells });
+        let done = act(&mut self.signals, &mut Books { core, actions, tells: &mut self.tells });
         if self.tells.len() > waiting {
             self.tells_ready.tell();
         }
+        done
     }
 }
 
@@ -70,9 +63,6 @@
     fn needs(&mut self, now: f64) -> Vec<Need> {
         self.core.needs(now)
     }
-    fn need(&mut self, now: f64, account: Account) -> Option<Need> {
-        self.core.needs(now).into_iter().find(|need| need.account == account)
-    }
     fn moved(&mut self, now: f64, account: Account, units: f64, until: f64) -> bool {
         self.core.shared(now, Shared::Units(account, units, until), self.actions)
     }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -169,9 +169,8 @@
 struct Instance {
     brain: Brain,
     names: Names,
-    /// Where initiators may talk; and when its timer rings next.
+    /// Where initiators may talk.
     signals: Option<Signals>,
-    rings_at: f64,
 }
 
 /// The core's accounts, and the wire, as signals use them.
@@ -181,9 +180,6 @@
     fn needs(&mut self, now: f64) -> Vec<Need> {
         self.0.needs(now)
     }
-    fn need(&mut self, now: f64, account: Account) -> Option<Need> {
-        self.0.needs(now).into_iter().find(|need| need.account == account)
-    }
     fn moved(&mut self, now: f64, account: Account, units: f64, until: f64) -> bool {
         self.0.shared(now, Shared::Units(account, units, until), self.1)
     }
@@ -202,16 +198,9 @@
     /// Runs what is due of the signals, and sets their timer anew.
     fn settle(&mut self, now: f64, out: &mut Reply) {
         let Some(signals) = &mut self.signals else { return };
-        for (block, stay) in std::mem::take(&mut out.seen) {
-            signals.seen(now, block, stay);
-        }
-        if now >= signals.next_at() {
-            signals.tick(now, &mut Books(&mut self.brain, out));
-        }
-        let next = signals.next_at();
-        if self.rings_at <= now && next < f64::INFINITY {
-            self.rings_at = next;
-            out.set_timer(next - now, SIGNALS);
+        let seen = std::mem::take(&mut out.seen);
+        if let Some(at) = signals.settle(now, seen, &mut Books(&mut self.brain, out)) {
+            out.set_timer(at - now, SIGNALS);
         }
     }
 }
@@ -365,7 +354,7 @@
                 decoded.map_err(|what| format!("START: field Params: {what}"))?;
             settings.hold = if signals.is_some() { gone() } else { 0.0 };
             let brain = Brain::start(now, seed, settings, out);
-            let mut instance = Instance { brain, names, signals, rings_at: f64::NEG_INFINITY };
+            let mut instance = Instance { brain, names, signals };
             instance.settle(now, out);
             instances.insert(name.to_string(), instance);
             return Ok(());
@@ -380,7 +369,7 @@
     let Some(instance) = instances.get_mut(name) else {
         return Err(format!("{}: {name} has not started", fields.name));
     };
-    let Instance { brain, names, signals, .. } = instance;
+    let Instance { brain, names, signals } = instance;
     let transaction = |at| fields.needed(at, "Req").map(TransactionId);
     match fields.name {
         "PEERS_KNOWN" => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -269,14 +269,12 @@
 
     fn moved(&mut self, now: f64, account: Account, units: f64, until: f64, out: &mut impl Outbox) -> bool {
         let name = self.volumes.iter().find(|(_, volume)| volume.account == account);
-        if let Some(name) = name.map(|(name, _)| name.clone()) {
-            self.fill(now, &name);
-            let done = self.volumes.get_mut(&name).unwrap().limit.shift(units, until);
-            let blocks: Vec<BlockId> = self.posts.keys().filter(|_| units > 0.0).copied().collect();
-            blocks.into_iter().for_each(|block| self.pump(now, block, out));
-            return done;
-        }
-        false
+        let Some(name) = name.map(|(name, _)| name.clone()) else { return false };
+        self.fill(now, &name);
+        let done = self.volumes.get_mut(&name).unwrap().limit.shift(units, until);
+        let blocks: Vec<BlockId> = self.posts.keys().filter(|_| units > 0.0).copied().collect();
+        blocks.into_iter().for_each(|block| self.pump(now, block, out));
+        done
     }
 
     /// Accounts that are shared with others, and how each stands here.
