--- a/crates/programs/tests/days.rs
+++ b/crates/programs/tests/days.rs
@@ -1,37 +1,27 @@
 //! Short days through the real programs: the verdict comes from the sockets, by the same judge as for long ones.
 
-use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+mod day;
 
+use std::path::PathBuf;
+use std::process::Command;
+
+use day::{file, run, sample, RAIL};
 use test_case::test_case;
 
 /// Loaded machines take their times late; the rules' figures are far wider.
 const TRANSIT: &str = "0.3";
 
 fn write(name: &str, deployment: &str, fleet: &str, rate: u32, shares: &str, troubles: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("quaypath-days-{}-{name}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples").canonicalize().unwrap();
-    let deployment = samples.join(deployment);
     let text = format!(
         r#"<day name="{name}" deployment="{}" seed="5" lasts="7" transit="{TRANSIT}">
 <fleet {fleet} cores="2" unit-time="0.01" run-part="0.5" put-off="0.3" flush-every="2" queue="50" warm-after="8"
  cancel-stops="true" notice="1"/>
 <traffic rate="{rate}" retries="1">{shares}</traffic>{troubles}</day>"#,
-        deployment.display()
+        sample(deployment).display()
     );
-    let path = folder.join("day.xml");
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
-fn run(day: &Path, more: &[&str]) -> Output {
-    let folder = day.with_file_name("out");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-day"));
-    command.arg("run").arg(day).arg("--folder").arg(folder).args(more).output().unwrap()
+    file(&format!("days-{name}"), &text)
 }
 
-const RAIL: &str = r#"<share band="look-up" part="0.6"/><share band="purchase" part="0.3"/><share band="export" part="0.1"/>"#;
 const SIGNING: &str =
     r#"<share band="fetch" part="0.5"/><share band="submit" part="0.4"/><share band="bulk" part="0.1"/>"#;
 const LEDGER: &str = r#"<share band="read" part="0.6"/><share band="write" part="0.4"/>"#;
@@ -57,7 +47,7 @@
         String::from_utf8_lossy(&output.stderr)
     );
     // The checker by itself reads the same record to the same verdict.
-    let settings = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples").join(deployment);
+    let settings = sample(deployment);
     let check = Command::new(env!("CARGO_BIN_EXE_quaypath-check"))
         .arg("--settings")
         .arg(settings)
@@ -95,7 +85,7 @@
 fn a_torn_or_foreign_record_is_told_by_file_and_line() {
     let path = std::env::temp_dir().join(format!("quaypath-record-{}", std::process::id()));
     let good = r#"{"e":"down","t":1.0,"node":"n"}"#;
-    let settings = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples/rail.xml");
+    let settings = sample("rail.xml");
     for (text, code, word) in
         [(format!("{good}\n{}", &good[..10]), 0, ""), (format!("{good}\nnonsense\n{good}\n"), 2, "line 2")]
     {
--- a/crates/programs/tests/fleet.rs
+++ b/crates/programs/tests/fleet.rs
@@ -1,50 +1,26 @@
 //! Several processes of the program that talk, with faults between them: judged from what targets, links and the day's
 //! runner saw.
 
-use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+mod day;
 
+use std::path::PathBuf;
+use std::process::Command;
+
+use day::{file, judged, sample, RAIL};
 use test_case::test_case;
 
 /// Loaded machines take their times late; the promises' figures are far wider.
 const TRANSIT: &str = "0.5";
-const SHARES: &str = r#"<share band="look-up" part="0.6"/><share band="purchase" part="0.3"/><share band="export" part="0.1"/>"#;
 
 fn write(name: &str, deployment: &str, gateways: u32, lasts: u32, troubles: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("quaypath-talk-{}-{name}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples").canonicalize().unwrap();
-    let deployment = samples.join(deployment);
     let text = format!(
         r#"<day name="{name}" deployment="{}" seed="5" lasts="{lasts}" transit="{TRANSIT}">
 <fleet gateways="{gateways}" nodes="8" cores="2" unit-time="0.01" run-part="0.5" put-off="0.3" flush-every="2"
  queue="50" warm-after="8" cancel-stops="true" notice="1"/>
-<traffic rate="40" retries="1">{SHARES}</traffic>{troubles}</day>"#,
-        deployment.display()
+<traffic rate="40" retries="1">{RAIL}</traffic>{troubles}</day>"#,
+        sample(deployment).display()
     );
-    let path = folder.join("day.xml");
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
-fn run(day: &Path, more: &[&str]) -> Output {
-    let folder = day.with_file_name("out");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-day"));
-    command
-        .arg("run")
-        .arg(day)
-        .arg("--folder")
-        .arg(folder)
-        .args(["--format", "json"])
-        .args(more)
-        .output()
-        .unwrap()
-}
-
-fn result(output: &Output) -> serde_json::Value {
-    let text = String::from_utf8_lossy(&output.stdout);
-    let read = serde_json::from_str(&text);
-    read.unwrap_or_else(|error| panic!("{error}: {text}{}", String::from_utf8_lossy(&output.stderr)))
+    file(&format!("talk-{name}"), &text)
 }
 
 const TWO_KILLED_ONE_STOPPED: &str = r#"
@@ -68,8 +44,7 @@
 #[test_case("twins", TWINS_WITHOUT_REGISTER, "Cut"; "two of one name, and no register")]
 fn eight_processes_keep_the_promises(name: &str, troubles: &str, struck: &str) {
     let day = write(name, "rail-fleet.xml", 8, 36, troubles);
-    let output = run(&day, &[]);
-    let result = result(&output);
+    let (output, result) = judged(&day, &[]);
     assert!(output.status.success(), "{}: {}", result["report"]["promises"], result["report"]["breaches"]);
     assert!(result["struck"][struck].as_u64().unwrap_or(0) > 0, "{}", result["struck"]);
     assert!(result["report"]["told"]["probes"].as_u64().unwrap() > 50);
@@ -83,9 +58,8 @@
 fn the_careless_fleet_is_judged_broken_by_the_same_links_and_targets() {
     let day =
         write("careless", "rail-fleet.xml", 8, 16, TWO_KILLED_ONE_STOPPED.replace("30\"", "8\"").as_str());
-    let output = run(&day, &["--careless"]);
+    let (output, result) = judged(&day, &["--careless"]);
     assert_eq!(output.status.code(), Some(1));
-    let result = result(&output);
     let broken = result["report"]["promises"].as_array().unwrap();
     assert!(broken.iter().any(|breach| breach["promise"] == "one-doer"), "{broken:?}");
     std::fs::remove_dir_all(day.parent().unwrap()).unwrap();
@@ -98,8 +72,7 @@
     let troubles = r#"<fault kind="disk-stands" at="2" lasts="4" part="1"/>
 <fault kind="drain" at="2.5" lasts="1" part="0.3" waves="2" size="1" returns="1"/>"#;
     let day = write("disk", "rail.xml", 4, 9, troubles);
-    let output = run(&day, &[]);
-    let result = result(&output);
+    let (output, result) = judged(&day, &[]);
     assert!(output.status.success(), "{}", result["report"]["breaches"]);
     let books = result["books"].as_object().unwrap();
     assert_eq!(books.len(), 4);
@@ -124,9 +97,8 @@
 #[test_case(&["--number", "3", "--member", "x"], "a number and an address"; "no member at all")]
 #[test_case(&["--number", "30"], "has 10 initiators"; "a number beyond the layout")]
 fn a_wrong_member_exits_2_with_one_message(arguments: &[&str], word: &str) {
-    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples");
     let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-gateway"));
-    command.arg("--settings").arg(samples.join("rail-fleet.xml")).args([
+    command.arg("--settings").arg(sample("rail-fleet.xml")).args([
         "--list",
         "/tmp/none",
         "--listen",
--- a/crates/programs/tests/shares.rs
+++ b/crates/programs/tests/shares.rs
@@ -1,22 +1,21 @@
 //! Several processes of the program that lend each other parts of limits, with faults between them: rules judged over
 //! all of them from what targets and clients saw, and each of two baselines caught by the same judge.
 
-use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+mod day;
 
+use std::path::PathBuf;
+use std::process::Command;
+
+use day::{file, judged, sample, RAIL};
 use serde_json::Value;
 use test_case::test_case;
 
 /// Loaded machines take their times late; the rule's slack is far wider.
 const TRANSIT: &str = "0.3";
-const SHARES: &str = r#"<share band="look-up" part="0.6"/><share band="purchase" part="0.3"/><share band="export" part="0.1"/>"#;
 
 /// Six gateways; volume 2 asks for so many times its usual in the spans given, through four of them: at 45 times the one
 /// that leads for far more than its part while others have some to spare, at 120 all of them.
 fn write(name: &str, lasts: u32, times: u32, surges: &[(u32, u32)], troubles: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("quaypath-parts-{}-{name}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples").canonicalize().unwrap();
     let surge = |(at, lasts): &(u32, u32)| {
         format!(r#"<surge at="{at}" lasts="{lasts}" times="{times}" volume="2"/>"#)
     };
@@ -27,25 +26,12 @@
         r#"<day name="{name}" deployment="{}" seed="9" lasts="{lasts}" transit="{TRANSIT}">
 <fleet gateways="6" nodes="8" cores="2" unit-time="0.004" run-part="0.5" put-off="0.3" flush-every="2"
  queue="50" warm-after="8" cancel-stops="true" notice="1"/>
-<traffic rate="40" retries="1">{SHARES}{}{}</traffic>{troubles}</day>"#,
-        samples.join("rail-parts.xml").display(),
+<traffic rate="40" retries="1">{RAIL}{}{}</traffic>{troubles}</day>"#,
+        sample("rail-parts.xml").display(),
         surges,
         leads,
     );
-    let path = folder.join("day.xml");
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
-fn run(day: &Path, more: &[&str]) -> (Output, Value) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-day"));
-    command.arg("run").arg(day).arg("--folder").arg(day.with_file_name("out"));
-    let output = command.args(["--format", "json"]).args(more).output().unwrap();
-    let text = String::from_utf8_lossy(&output.stdout);
-    let read = serde_json::from_str(&text);
-    let read =
-        read.unwrap_or_else(|error| panic!("{error}: {text}{}", String::from_utf8_lossy(&output.stderr)));
-    (output, read)
+    file(&format!("parts-{name}"), &text)
 }
 
 /// Loans that gateways took, by their own count: only to see that the run was not a quiet one.
@@ -86,7 +72,7 @@
 #[test_case("most", MOST_KILLED, "Garble"; "seven in ten killed at once")]
 fn all_together_stay_inside_the_limit(name: &str, troubles: &str, struck: &str) {
     let day = write(name, 18, 45, &[(2, 4), (7, 4), (12, 4)], troubles);
-    let (output, result) = run(&day, &[]);
+    let (output, result) = judged(&day, &[]);
     assert!(output.status.success(), "{} {}", result["report"]["promises"], result["report"]["breaches"]);
     assert!(struck.is_empty() || result["struck"][struck].as_u64().unwrap_or(0) > 0, "{}", result["struck"]);
     // Each counts from its last start.
@@ -112,7 +98,7 @@
 fn a_baseline_without_this_passes_the_limit(without: &str) {
     // Room that has no end fills while nobody asks, and goes all at once.
     let day = write(&format!("without-{without}"), 26, 120, &[(1, 6), (8, 6), (23, 3)], "");
-    let (output, result) = run(&day, &["--without", without]);
+    let (output, result) = judged(&day, &["--without", without]);
     let broken = result["report"]["breaches"].as_array().unwrap();
     assert!(broken.iter().any(|breach| breach["rule"] == "Limits"), "{}", result["report"]["shares"]);
     assert_eq!(output.status.code(), Some(1));
@@ -124,7 +110,7 @@
 fn the_part_follows_the_lead() {
     let used = |name: &str, signals: &str| {
         let day = write(name, 14, 45, &[(2, 10)], "");
-        let (output, result) = run(&day, &["--signals", signals]);
+        let (output, result) = judged(&day, &["--signals", signals]);
         assert!(output.status.success(), "{}", result["report"]["breaches"]);
         std::fs::remove_dir_all(day.parent().unwrap()).unwrap();
         let bytes =
@@ -139,9 +125,8 @@
 #[test_case(&["--without", "nothing"], "from-asking"; "a safeguard that there is not")]
 #[test_case(&["--signals", "loud"], "none, news, parts or all"; "signals that there are not")]
 fn a_wrong_word_exits_2_with_one_message(arguments: &[&str], word: &str) {
-    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/samples");
     let mut command = Command::new(env!("CARGO_BIN_EXE_quaypath-gateway"));
-    command.arg("--settings").arg(samples.join("rail-parts.xml")).args(["--list", "/tmp/none"]);
+    command.arg("--settings").arg(sample("rail-parts.xml")).args(["--list", "/tmp/none"]);
     let output = command.args(arguments).output().unwrap();
     let text = String::from_utf8_lossy(&output.stderr);
     assert_eq!(output.status.code(), Some(2), "{text}");
