Tests of the platform share a rig that holds both peers in its hand

Moved from platform.rs without a change of assertion: nodes, discovery, the program, the usual request.

--- a/crates/programs/tests/platform.rs
+++ b/crates/programs/tests/platform.rs
@@ -1,258 +1,23 @@
 //! The gateway on the platform, driven from outside: the real program, with nodes, discovery and clients of our own
 //! on loopback. Each test names the failure that it guards against.
 
-use std::io::{BufRead, BufReader, Read, Write};
+mod rig;
+
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::process::Command;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rustix::process::{kill_process, Pid, Signal};
+use rig::{
+    answer, exchange, id_of, listing, put, settles, silent, slow, until, Discovery, Gateway, Node, Script,
+    SAMPLE,
+};
+use rustix::process::Signal;
 use serde_json::{json, Value};
 use test_case::test_case;
 
-const SAMPLE: &str = include_str!("../../platform/tests/sample.json");
-/// Bound of every wait; nothing is proved by it but that something never came.
-const LONG: Duration = Duration::from_secs(20);
-
-fn until(what: &str, mut done: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !done() {
-        assert!(began.elapsed() < LONG, "waited in vain: {what}");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
-/// Reads a head, and a body of the length that it says; none at the connection's end.
-fn message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
-    let (mut head, mut byte) = (Vec::new(), [0]);
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
-    let length =
-        head.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some((head, body))
-}
-
-/// What a node does with the request of this number, from 0; false to close the connection.
-type Script = fn(usize, &mut TcpStream, &str) -> bool;
-
-fn answer(stream: &mut TcpStream, status: &str, body: &str) -> bool {
-    let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-    stream.write_all(text.as_bytes()).is_ok()
-}
-
-/// Answers with the id of the request, so that one answer is told from another.
-fn id_of(head: &str) -> &str {
-    head.lines().find_map(|line| line.strip_prefix("X-Request-ID: ")).unwrap_or("none")
-}
-
-#[derive(Clone)]
-struct Node {
-    address: SocketAddr,
-    seen: Arc<Mutex<Vec<String>>>,
-    connections: Arc<AtomicUsize>,
-    ended: Arc<AtomicUsize>,
-}
-
-impl Node {
-    fn start(script: Script) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("bound");
-        let node = Node { address, seen: Arc::default(), connections: Arc::default(), ended: Arc::default() };
-        let this = node.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming() {
-                let (mut stream, this) = (stream.expect("a connection"), this.clone());
-                this.connections.fetch_add(1, Ordering::SeqCst);
-                thread::spawn(move || {
-                    while let Some((head, _)) = message(&mut stream) {
-                        let number = {
-                            let mut seen = this.seen.lock().expect("no panic");
-                            seen.push(head.clone());
-                            seen.len() - 1
-                        };
-                        if !script(number, &mut stream, &head) {
-                            break;
-                        }
-                    }
-                    this.ended.fetch_add(1, Ordering::SeqCst);
-                });
-            }
-        });
-        node
-    }
-
-    fn requests(&self) -> usize {
-        self.seen.lock().expect("no panic").len()
-    }
-}
-
-fn listing(index: u64, nodes: &[(&str, SocketAddr, &str)]) -> Value {
-    let endpoint = |(name, address, status): &(&str, SocketAddr, &str)| {
-        json!({"name": name, "address": address.to_string(), "zone": "a", "type": "m", "group": 3,
-               "status": status, "weight": 1.0, "since_ms": 0})
-    };
-    json!({"index": index, "snapshot": true, "endpoints": nodes.iter().map(endpoint).collect::<Vec<_>>()})
-}
-
-/// Discovery: the list as it is, on the call and on the watch.
-#[derive(Clone)]
-struct Discovery {
-    address: SocketAddr,
-    list: Arc<Mutex<Value>>,
-    shut: Arc<AtomicBool>,
-    /// Ends its watches after each line.
-    brief: Arc<AtomicBool>,
-}
-
-impl Discovery {
-    fn start(list: Value) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("bound");
-        let this = Discovery {
-            address,
-            list: Arc::new(Mutex::new(list)),
-            shut: Arc::default(),
-            brief: Arc::default(),
-        };
-        let all = this.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming() {
-                let (mut stream, this) = (stream.expect("a connection"), all.clone());
-                if this.shut.load(Ordering::SeqCst) {
-                    continue;
-                }
-                thread::spawn(move || this.serve(&mut stream));
-            }
-        });
-        this
-    }
-
-    fn serve(&self, stream: &mut TcpStream) -> Option<()> {
-        let (head, _) = message(stream)?;
-        let now = || self.list.lock().expect("no panic").clone();
-        if !head.contains("watch=1") {
-            answer(stream, "200 OK", &now().to_string());
-            return None;
-        }
-        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
-        let mut told = Value::Null;
-        while !self.shut.load(Ordering::SeqCst) {
-            let list = now();
-            let line = if list == told { "\n".to_string() } else { format!("{list}\n") };
-            told = list;
-            // A line comes in two chunks.
-            let (one, other) = line.split_at(line.len() / 2);
-            for piece in [one, other].into_iter().filter(|piece| !piece.is_empty()) {
-                stream.write_all(format!("{:x}\r\n{piece}\r\n", piece.len()).as_bytes()).ok()?;
-            }
-            if self.brief.load(Ordering::SeqCst) {
-                return None;
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-        None
-    }
-
-    fn set(&self, list: Value) {
-        *self.list.lock().expect("no panic") = list;
-    }
-}
-
-/// The program under test; killed when dropped.
-struct Gateway {
-    child: Child,
-    address: SocketAddr,
-    config: PathBuf,
-}
-
-impl Gateway {
-    fn start(known: &Value, discovery: SocketAddr, change: impl FnOnce(&mut Value)) -> Self {
-        static NUMBER: AtomicUsize = AtomicUsize::new(0);
-        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let config =
-            std::env::temp_dir().join(format!("quaypath-platform-{}-{number}.json", std::process::id()));
-        let mut value: Value = serde_json::from_str(SAMPLE).expect("JSON");
-        (value["known"], value["discovery"]) = (known.clone(), json!(discovery.to_string()));
-        change(&mut value);
-        std::fs::write(&config, value.to_string()).expect("a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_quaypath-gateway"))
-            .arg("--platform")
-            .env("BALANCER_CONFIG", &config)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the gateway");
-        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
-        let address = loop {
-            let line = log.next().expect("a line that says where it listens").expect("text");
-            if let Some((_, rest)) = line.split_once("listening address=") {
-                break rest.split(' ').next().and_then(|text| text.parse().ok()).expect("an address");
-            }
-        };
-        thread::spawn(move || log.for_each(drop));
-        Gateway { child, address, config }
-    }
-
-    /// With one node that holds block 3, known from the start.
-    fn with(node: &Node) -> (Self, Discovery) {
-        let list = listing(41, &[("s-1", node.address, "in_service")]);
-        let discovery = Discovery::start(list.clone());
-        (Gateway::start(&list, discovery.address, |_| {}), discovery)
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).expect("it runs");
-    }
-
-    fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).expect("it listens");
-        stream.set_read_timeout(Some(LONG)).expect("a time-out");
-        stream
-    }
-
-    fn ask(&self, class: &str, id: &str) -> (u16, String, String) {
-        exchange(&mut self.connect(), &put(class, id, "1000m"))
-    }
-}
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
-    }
-}
-
-fn put(class: &str, id: &str, time: &str) -> String {
-    format!(
-        "PUT /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
-         X-Storage-Class: gold\r\nCookie: extent=7f3a9c21e0b4d655\r\nX-Timeout: {time}\r\nContent-Length: 4\r\n\
-         X-Extent: volume=00000003b4d60021,units=1,shard=3,hosts=2\r\n\r\nbody"
-    )
-}
-
-/// Status, head and body of the answer; 0 where the connection ended without one.
-fn exchange(stream: &mut TcpStream, text: &str) -> (u16, String, String) {
-    let _ = stream.write_all(text.as_bytes());
-    let Some((head, body)) = message(stream) else { return (0, String::new(), String::new()) };
-    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
-    (status, head, String::from_utf8_lossy(&body).into_owned())
-}
-
-fn settles(_: usize, stream: &mut TcpStream, head: &str) -> bool {
-    answer(stream, "200 OK", id_of(head))
-}
-
 fn first_error(number: usize, stream: &mut TcpStream, head: &str) -> bool {
     if number == 0 {
         answer(stream, "500 Error", "")
@@ -303,15 +68,6 @@
         && answer(stream, "200 OK", id_of(head))
 }
 
-fn silent(_: usize, _: &mut TcpStream, _: &str) -> bool {
-    true
-}
-
-fn slow(_: usize, stream: &mut TcpStream, head: &str) -> bool {
-    thread::sleep(Duration::from_millis(150));
-    answer(stream, "200 OK", id_of(head))
-}
-
 // Guards against a second effect of a once-only transaction, a refusal of one that may have run, and against
 // repeatable ones given up though another shot was free.
 #[test_case(settles, "buy", 200, 1; "settled")]
