Answers without a length are served where they end in order, and fail at a reset

Seen: an_answer_without_a_length (crossings.rs) gave 500 and 503 where 200 is owed. Change: such a body lasts until its sender ends in order (RFC 9112, 6.3), bounded as any other; back.rs tells the decoder of that end, also in its last look at a time-out.

--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -17,6 +17,8 @@
     ChunkEnd,
     /// Trailer lines, so many bytes of them so far.
     Trailer(usize),
+    /// No length is told: the body ends with the connection's sending.
+    UntilEnd,
     Done,
 }
 
@@ -69,6 +71,14 @@
             let rest = &buffer[at..];
             match *self {
                 Framing::Done => break Ok(()),
+                Framing::UntilEnd => {
+                    if rest.len() > most.saturating_sub(body.len()) {
+                        break refused(413, "the body is longer than allowed");
+                    }
+                    body.extend_from_slice(rest);
+                    at = buffer.len();
+                    break Ok(());
+                }
                 Framing::Length(left) | Framing::Chunk(left) => {
                     let count = left.min(rest.len());
                     body.extend_from_slice(&rest[..count]);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,10 +1,11 @@
-//! HTTP/1.1 (RFC 9112) as far as the platform speaks it: requests and responses with a length or in chunks.
+//! HTTP/1.1 (RFC 9112) as far as the platform speaks it: requests and responses with a length or in chunks, and
+//! responses that end with their connection.
 //! Bytes in, messages out; no clock, no sockets. Heads are read by `httparse`, framing is ours, since whoever
 //! judges where a message ends judges what is passed on.
 //!
 //! Bounds: a head of [`MOST_HEAD`] bytes and [`MOST_HEADERS`] headers, a body of the caller's choice, an
 //! informational answer [`MOST_INTERIM`] times. Refused, though the RFC would let them be mended: both a length
-//! and a transfer coding, a length said twice, any coding but `chunked`, an answer without either.
+//! and a transfer coding, a length said twice, any coding but `chunked`.
 
 mod framing;
 mod request;
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -28,8 +28,8 @@
     Over,
 }
 
-/// Takes the bytes of one response as they come. An answer without a length is refused, as its end could not be
-/// told from a connection that broke.
+/// Takes the bytes of one response as they come. One without a length is whole where its sender ends its sending in
+/// order, which the caller says by [`ResponseDecoder::finish`]; a connection that breaks is no end.
 #[derive(Debug)]
 pub struct ResponseDecoder {
     buffer: Vec<u8>,
@@ -75,7 +75,7 @@
                         return refused(502, "the head is longer than allowed");
                     }
                     let interim = *interim;
-                    let head = head(&self.buffer[..end])?;
+                    let mut head = head(&self.buffer[..end])?;
                     self.buffer.drain(..end);
                     if (100..200).contains(&head.status) {
                         if head.status == 101 || interim >= MOST_INTERIM {
@@ -87,7 +87,10 @@
                     let framing = match announced(&head.headers, self.most)? {
                         _ if matches!(head.status, 204 | 304) => Framing::Done,
                         Some(framing) => framing,
-                        None => return refused(502, "an answer without a length"),
+                        None => {
+                            head.close = true;
+                            Framing::UntilEnd
+                        }
                     };
                     self.stage = Stage::Body(framing);
                     return Ok(Some(Part::Head(head)));
@@ -108,6 +111,14 @@
             }
         }
     }
+
+    /// The sender has ended its sending in order. The response's end, where that is how it ends.
+    pub fn finish(&mut self) -> Option<Part> {
+        matches!(self.stage, Stage::Body(Framing::UntilEnd) if self.buffer.is_empty()).then(|| {
+            self.stage = Stage::Over;
+            Part::End
+        })
+    }
 }
 
 fn head(bytes: &[u8]) -> Result<ResponseHead, Refused> {
--- a/crates/platform/src/back.rs
+++ b/crates/platform/src/back.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use async_io::Async;
+use futures_lite::future::pending;
 use futures_lite::FutureExt;
 use quaypath::ring::Ring;
 use quaypath_http::{Part, Refused, ResponseDecoder, ResponseHead};
@@ -161,6 +162,12 @@
         Ok(self.whole)
     }
 
+    /// The node has ended its sending in order: where that is how the answer ends, it is whole.
+    fn finish(&mut self) -> bool {
+        self.whole |= self.decoder.finish().is_some();
+        self.whole
+    }
+
     /// Whether the connection can be used once more.
     fn reusable(&self) -> bool {
         self.whole && self.decoder.behind() == 0 && self.head.as_ref().is_some_and(|head| !head.close)
@@ -239,18 +246,25 @@
         shot.to(Progress::Queued);
         decode::shot(&message.head, &message.body, shot.stop_at - now)
     };
-    if write(back, shot, &bytes).await.is_err() {
-        return Ended::Lost;
-    }
-    drop(bytes);
-    loop {
-        match read_some(&back.stream, |bytes| incoming.take(bytes)).await {
-            Ok(Came::Bytes(Ok(false))) => {}
-            Ok(Came::Bytes(Ok(true))) => return answered(incoming),
-            Ok(Came::Bytes(Err(_))) => return Ended::Spoilt,
-            Ok(Came::End) | Err(_) => return Ended::Lost,
+    let writing = async {
+        match write(back, shot, &bytes).await {
+            Ok(()) => pending().await,
+            Err(_) => Ended::Lost,
         }
-    }
+    };
+    // An answer may come before the request's last byte: it ends the shot all the same.
+    let reading = async {
+        loop {
+            match read_some(&back.stream, |bytes| incoming.take(bytes)).await {
+                Ok(Came::Bytes(Ok(false))) => {}
+                Ok(Came::Bytes(Ok(true))) => return answered(incoming),
+                Ok(Came::Bytes(Err(_))) => return Ended::Spoilt,
+                Ok(Came::End) if incoming.finish() => return answered(incoming),
+                Ok(Came::End) | Err(_) => return Ended::Lost,
+            }
+        }
+    };
+    writing.or(reading).await
 }
 
 fn answered(incoming: &Incoming) -> Ended {
@@ -260,13 +274,14 @@
 
 /// What has come and was not read yet when the time was up: a standstill of ours is not the node's.
 fn last_look(back: &Back, incoming: &mut Incoming) -> Option<Ended> {
-    while let Ok(Some(Came::Bytes(Ok(whole)))) = read_now(back.stream.get_ref(), |bytes| incoming.take(bytes))
-    {
-        if whole {
-            return Some(answered(incoming));
+    loop {
+        match read_now(back.stream.get_ref(), |bytes| incoming.take(bytes)) {
+            Ok(Some(Came::Bytes(Ok(false)))) => {}
+            Ok(Some(Came::Bytes(Ok(true)))) => return Some(answered(incoming)),
+            Ok(Some(Came::End)) if incoming.finish() => return Some(answered(incoming)),
+            _ => return None,
         }
     }
-    None
 }
 
 /// The task of one shot.
