Ids of open transactions never go, whatever flood of others comes behind them

Change: a replay window in which an id is open from the request to the end of its transaction and only then goes by age and count. Ids refused before the core were never kept.

--- a/crates/platform/src/ids.rs
+++ b/crates/platform/src/ids.rs
@@ -1,48 +1,47 @@
-//! Request ids of late: each is new with every request, so one that comes again is somebody else's.
+//! The replay window of request ids: each is new with every request, so one that comes again is somebody else's.
 
 use std::collections::hash_map::RandomState;
 use std::collections::{HashSet, VecDeque};
 use std::hash::BuildHasher;
 
-/// Most ids remembered; past that the oldest is let go.
-const MOST: usize = 16 << 10;
+/// Most ids remembered of transactions that are over; past that the oldest is let go.
+pub const MOST: usize = 16 << 10;
 
-/// Hashes with a key of this process, so that nobody can make two ids meet.
+/// An id, hashed with a key of this process, so that nobody can make two of them meet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Seen(u64);
+
+/// Ids of open transactions, which never go, and those of transactions that ended of late.
 #[derive(Default)]
-pub struct Ids {
+pub struct ReplayWindow {
     key: RandomState,
-    known: HashSet<u64>,
-    order: VecDeque<(f64, u64)>,
+    known: HashSet<Seen>,
+    ended: VecDeque<(f64, Seen)>,
 }
 
-impl Ids {
-    /// Whether the id is new among those of the last `keep` seconds; it is known from here on.
-    pub fn fresh(&mut self, now: f64, id: &str, keep: f64) -> bool {
-        while self.order.front().is_some_and(|(at, _)| now - at > keep || self.order.len() >= MOST) {
-            let (_, oldest) = self.order.pop_front().unwrap_or_default();
-            self.known.remove(&oldest);
-        }
-        let hash = self.key.hash_one(id);
-        let fresh = self.known.insert(hash);
-        if fresh {
-            self.order.push_back((now, hash));
+impl ReplayWindow {
+    /// Takes in the id of a new transaction; none where it is known. It is open until [`ReplayWindow::end`].
+    pub fn open(&mut self, id: &str) -> Option<Seen> {
+        let seen = Seen(self.key.hash_one(id));
+        self.known.insert(seen).then_some(seen)
+    }
+
+    /// Its transaction is over: the id goes with age, after `keep` seconds, or by count.
+    pub fn end(&mut self, now: f64, id: Seen, keep: f64) {
+        self.ended.push_back((now, id));
+        while self.ended.front().is_some_and(|(at, _)| now - at > keep || self.ended.len() > MOST) {
+            if let Some((_, oldest)) = self.ended.pop_front() {
+                self.known.remove(&oldest);
+            }
         }
-        fresh
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a second copy of an open transaction under the same id, and against ids kept for ever.
-    #[test]
-    fn an_id_is_known_for_its_time() {
-        let mut ids = Ids::default();
-        assert!(ids.fresh(1.0, "one", 5.0));
-        assert!(!ids.fresh(5.9, "one", 5.0));
-        assert!(ids.fresh(6.1, "one", 5.0));
-        (0..2 * MOST).for_each(|at| assert!(ids.fresh(7.0, &at.to_string(), 5.0)));
-        assert!(ids.order.len() <= MOST && ids.known.len() <= MOST);
+    /// Ids held, for those who watch memory.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
     }
 }
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -28,7 +28,7 @@
 use crate::decode::{asked, onward, Told};
 use crate::discovery::{Listing, Status};
 use crate::front::{Answer, Front, Reply, Standing, IDLE, IDLE_PRESSED};
-use crate::ids::Ids;
+use crate::ids::{ReplayWindow, Seen};
 use crate::outcome::{outcome, Ended};
 
 /// How late a timer may ring before it counts as a stall, seconds.
@@ -156,6 +156,7 @@
 }
 
 struct Open {
+    seen: Seen,
     /// Its client's connection and where the final answer goes, until that is given.
     client: Option<Rc<Reply>>,
     band: usize,
@@ -237,7 +238,7 @@
     wake: Rc<Notify>,
     open: BTreeMap<u64, Open>,
     next_id: u64,
-    ids: Ids,
+    ids: ReplayWindow,
     pub fronts: BTreeMap<u64, Front>,
     next_front: u64,
     most_fronts: usize,
@@ -323,7 +324,7 @@
             wake: Rc::default(),
             open: BTreeMap::new(),
             next_id: 1,
-            ids: Ids::default(),
+            ids: ReplayWindow::default(),
             fronts: BTreeMap::new(),
             next_front: 1,
             most_fronts: share(CLIENTS),
@@ -397,7 +398,7 @@
                     out,
                 );
                 if over {
-                    self.open.remove(&id.0);
+                    self.forget(id.0);
                 }
             }
             Happened::Lapsed(id) => self.core.lapsed(now, TransactionId(id), out),
@@ -434,10 +435,7 @@
             return Err((503, "the process ends"));
         }
         let asked = asked(&request, &self.config)?;
-        let keep = self.config.waits.longest() + 1.0;
-        if !self.ids.fresh(self.now, &asked.id, keep) {
-            return Err((409, "X-Request-ID is another request's"));
-        }
+        let seen = self.ids.open(&asked.id).ok_or((409, "X-Request-ID is another request's"))?;
         let id = self.next_id;
         self.next_id += 1;
         let reply = Rc::new(Reply::default());
@@ -445,6 +443,7 @@
         self.open.insert(
             id,
             Open {
+                seen,
                 client: Some(reply.clone()),
                 band: asked.band,
                 plan: asked.plan,
@@ -472,7 +471,15 @@
         self.counts.lapsed += 1;
         self.events.push_back(Happened::Lapsed(id));
         if !out {
-            self.open.remove(&id);
+            self.forget(id);
+        }
+    }
+
+    /// A transaction is over, and no shot of it out.
+    fn forget(&mut self, id: u64) {
+        let keep = self.config.waits.longest() + 1.0;
+        if let Some(open) = self.open.remove(&id) {
+            self.ids.end(self.now, open.seen, keep);
         }
     }
 
@@ -481,7 +488,7 @@
         let Some(open) = self.open.get_mut(&id) else { return false };
         let Some(reply) = open.client.take() else { return false };
         if open.shot.is_none() {
-            self.open.remove(&id);
+            self.forget(id);
         }
         reply.give(answer);
         true
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod decode;
 mod discovery;
 mod front;
-mod ids;
+pub mod ids;
 mod instance;
 pub mod outcome;
 
