--- a/crates/platform/src/decode.rs
+++ b/crates/platform/src/decode.rs
@@ -28,7 +28,8 @@
 pub struct Asked {
     pub id: String,
     pub band: usize,
-    pub plan: usize,
+    /// Absent where the settings know no plans.
+    pub plan: Option<usize>,
     pub extent: String,
     pub volume: String,
     pub units: f64,
@@ -100,7 +101,10 @@
         of.iter().position(|known| known == value)
     };
     let band = named("x-priority-class", &config.names.bands).ok_or((400, "X-Priority-Class is unknown"))?;
-    let plan = named("x-storage-class", &config.names.plans).ok_or((400, "X-Storage-Class is unknown"))?;
+    let plan = named("x-storage-class", &config.names.plans);
+    if plan.is_none() && !config.names.plans.is_empty() {
+        return Err((400, "X-Storage-Class is unknown"));
+    }
     let budget = headers.one("x-timeout").and_then(timeout).ok_or((400, "X-Timeout is not a time"))?;
     let extent = cookie(headers, "extent").filter(|extent| hex(extent));
     let extent = extent.ok_or((400, "the cookie extent is not 16 hex digits"))?;
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -160,7 +160,7 @@
     /// Its client's connection and where the final answer goes, until that is given.
     client: Option<Rc<Reply>>,
     band: usize,
-    plan: usize,
+    plan: Option<usize>,
     volume: VolumeId,
     extent: ExtentId,
     block: Option<i64>,
@@ -365,7 +365,7 @@
                     now,
                     TransactionId(id),
                     t.initiators,
-                    Some(PlanId(t.plan)),
+                    t.plan.map(PlanId),
                     BandId(t.band),
                     Some(t.extent.clone()),
                     t.outer - now,
--- a/crates/platform/tests/decode.rs
+++ b/crates/platform/tests/decode.rs
@@ -28,7 +28,7 @@
 #[test]
 fn a_transaction_is_read_by_the_page() {
     let asked = asked(&request(GOOD), &config()).expect("fit");
-    assert_eq!((asked.id.as_str(), asked.band, asked.plan), ("9b1f03aa5c7e2d41", 1, 1));
+    assert_eq!((asked.id.as_str(), asked.band, asked.plan), ("9b1f03aa5c7e2d41", 1, Some(1)));
     assert_eq!((asked.volume.as_str(), asked.extent.as_str()), ("00000003b4d60021", "7f3a9c21e0b4d655"));
     assert_eq!((asked.units, asked.block, asked.initiators, asked.budget), (2.0, Some(3), 2.0, 0.48));
     let anew = GOOD.replace("shard=3", "shard=-1");
@@ -42,6 +42,31 @@
     asked(&request(text), &config())
 }
 
+/// Guards against every request refused where the settings know no plans: then none need be named.
+#[test]
+fn without_plans_none_is_wanted() {
+    let mut value: Value = serde_json::from_str(SAMPLE).expect("JSON");
+    for none in [json!([]), Value::Null] {
+        value["settings"]["Policies"] = none;
+        let path = written("no-plans", &value);
+        let config = Config::read(&path, |_| None).expect("readable");
+        for text in [GOOD.replace("X-Storage-Class: gold\r\n", ""), GOOD.to_string()] {
+            assert_eq!(asked(&request(&text), &config).expect("fit").plan, None);
+        }
+    }
+}
+
+/// Guards against a second effect past the window for repeats: a repeat counts by when it arrives, and its connection
+/// may come up late.
+#[test]
+fn the_window_for_repeats_leaves_room_for_the_way() {
+    let mut value: Value = serde_json::from_str(SAMPLE).expect("JSON");
+    value["settings"]["Grades"][0]["Window"] = json!(0.1);
+    value["settings"]["Grades"][1]["Window"] = json!(0.75);
+    let config = Config::read(&written("window", &value), |_| None).expect("readable");
+    assert_eq!((config.core.bands[0].window, config.core.bands[1].window), (0.0, 0.5));
+}
+
 // Guards against what a client made up reaching the core, whose tables would grow with it, or a node.
 #[test_case("X-Priority-Class: buy", "X-Priority-Class: none"; "unknown class")]
 #[test_case("X-Storage-Class: gold", "X-Storage-Class: lead"; "unknown plan")]
