Discovery is called at the settings' pace while it is down, and lists come whole

What its agent gets at the return counts at once, and the grace is 0.5 s. Ruled out: the module (it stops within 0.6 of the grace) and connections that come up late (0.25 s at most).

Change: while the list is not had a call begins every quarter of the drain's grace, 0.05 to 0.2 s, whether those before hang; constants by the settings and the page's 6 s, sums beside them. A watch is silent after 2.6 s without the end of an object or a line. Objects are split by their brackets (objects.rs). Each session begins with the whole list, whose drains hold at once, as it does not tell since when. A whole list of before does not take back a drain or an end of the same start. Ready after the first list or 1 s. Where settings have the core ask, the watch is kept up all the same: the core's pauses reach 5 s.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,26 +1,36 @@
 //! Discovery: the whole list, then the watch on it, one object a line.
 
+use std::future::{poll_fn, Future};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncWriteExt, FutureExt};
 use quaypath_http::{Part, ResponseDecoder};
 use quaypath_initiator::turns::{read_some, turn, within, Came};
 use serde::Deserialize;
 use tracing::{debug, info, warn};
 
 use crate::instance::{Shared, Weakly};
+use crate::objects::{self, Objects};
 
-/// A call is up, and its answer begins, within so many seconds.
-const CALL: f64 = 1.0;
-/// A watch that says nothing for so long is replaced: an empty line comes every 2 s.
-const SILENT: f64 = 4.5;
-/// Waits between two calls that failed, seconds: doubled from the first to the second.
-const FIRST_WAIT: f64 = 0.1;
-const LAST_WAIT: f64 = 1.5;
-/// Longest list or line, bytes.
+/// A call is up, and its answer begins, within so many seconds; a whole list has come within the second figure.
+const CALL: f64 = 0.6;
+const LIST: f64 = 1.5;
+/// A watch that ends no object and no line for so long is replaced: a line comes every 2 s at the least. What a watch
+/// misses counts as told 6 s after it fell silent.
+const SILENT: f64 = 2.6;
+/// While the list is not had, a further call begins every so many seconds, whether those before hang, were refused or
+/// failed; not so many are under way that the first is not given up by then. What discovery learns while it is down
+/// counts at once when it is back, and a node that drains then is kept within the settings' grace: a part of that is the
+/// pace, within these bounds. The agent answers at once and at no cost.
+const PACE: f64 = 0.2;
+const QUICKEST: f64 = 0.05;
+const GRACE_PART: f64 = 0.25;
+/// Longest list or object, bytes.
 const MOST: usize = 4 << 20;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -54,49 +64,95 @@
     pub endpoints: Vec<Endpoint>,
 }
 
-/// Keeps the list up to date from one address, for as long as no other one has taken its place.
+/// Keeps the list up to date from one address, until another one has taken its place.
 pub async fn follow(instance: Weakly, address: SocketAddr, source: u64) {
-    let mut wait = FIRST_WAIT;
-    // What is known is another address's word until this one has told its whole list.
-    let mut whole = source > 0;
     loop {
-        let must_ask = {
-            let Some(this) = instance.upgrade() else { return };
-            let this = this.borrow();
-            this.config.core.must_ask.then(|| this.asked.clone())
+        let Some(pace) = instance.upgrade().map(|this| this.borrow().config.waits.drain_grace * GRACE_PART)
+        else {
+            return;
         };
-        // Where the core has to ask, so is each new try.
-        if let Some(asked) = must_ask {
-            asked.wait().await;
-        }
-        let mut heard = false;
-        let ended = session(&instance, address, source, &mut whole, &mut heard).await;
+        let next = Timer::after(Duration::from_secs_f64(pace.clamp(QUICKEST, PACE)));
+        let ended = session(&instance, address, source, pace.clamp(QUICKEST, PACE)).await;
         let Some(this) = instance.upgrade() else { return };
-        if this.borrow().source > source {
+        if !this.borrow().heeds(source) {
             return info!(%address, "this discovery address has been replaced");
         }
         match ended {
             Ok(()) => debug!(%address, "discovery ended a watch"),
             Err(error) => debug!(%address, %error, "discovery"),
         }
-        wait = if heard { FIRST_WAIT } else { (wait * 2.0).min(LAST_WAIT) };
-        let pause = turn(&this, |this| {
-            this.discovery_failed();
-            this.spread(wait)
-        });
+        this.borrow_mut().counts.discovery_lost += 1;
         drop(this);
-        Timer::after(Duration::from_secs_f64(pause)).await;
+        next.await;
     }
 }
 
-async fn call(address: SocketAddr, path: &str, close: bool) -> io::Result<Async<TcpStream>> {
+/// The whole list, by the first of several calls that has it.
+async fn whole_list(instance: &Weakly, address: SocketAddr, source: u64, pace: f64) -> io::Result<Listing> {
+    let mut calls: Vec<Pin<Box<dyn Future<Output = io::Result<Listing>>>>> = Vec::new();
+    loop {
+        if instance.upgrade().is_none_or(|this| !this.borrow().heeds(source)) {
+            return Err(bad("replaced"));
+        }
+        if calls.len() as f64 * pace < CALL {
+            calls.push(Box::pin(list(address)));
+        }
+        let first = poll_fn(|context| {
+            let mut had = None;
+            calls.retain_mut(|call| match call.as_mut().poll(context) {
+                Poll::Pending => true,
+                Poll::Ready(Ok(listing)) => {
+                    had = Some(listing);
+                    false
+                }
+                Poll::Ready(Err(error)) => {
+                    debug!(%address, %error, "a call to discovery");
+                    false
+                }
+            });
+            had.map_or(Poll::Pending, |listing| Poll::Ready(Some(listing)))
+        });
+        let next = async {
+            Timer::after(Duration::from_secs_f64(pace)).await;
+            None
+        };
+        if let Some(listing) = first.or(next).await {
+            return Ok(listing);
+        }
+        if let Some(this) = instance.upgrade() {
+            this.borrow_mut().counts.discovery_lost += 1;
+        }
+    }
+}
+
+async fn list(address: SocketAddr) -> io::Result<Listing> {
+    let mut answer = call(address, "/discovery/hosts", true, MOST).await?;
+    let text = within(LIST, async {
+        let mut text = Vec::new();
+        while let Part::Body(more) = answer.next().await? {
+            text.extend(more);
+        }
+        Ok(text)
+    });
+    let mut listing: Listing = serde_json::from_slice(&text.await?).map_err(bad)?;
+    listing.snapshot = true;
+    Ok(listing)
+}
+
+/// Calls, and has the answer's head.
+async fn call(address: SocketAddr, path: &str, close: bool, most: usize) -> io::Result<Answer> {
     within(CALL, async {
         let stream = Async::<TcpStream>::connect(address).await?;
         let close = if close { "Connection: close\r\n" } else { "" };
         let text = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n{close}\r\n");
         let mut writer = &stream;
         writer.write_all(text.as_bytes()).await?;
-        Ok(stream)
+        let mut answer = Answer { stream, decoder: ResponseDecoder::new(most) };
+        match answer.next().await? {
+            Part::Head(head) if head.status == 200 => Ok(answer),
+            Part::Head(head) => Err(bad(format!("status {}", head.status))),
+            _ => Err(bad("no head")),
+        }
     })
     .await
 }
@@ -112,88 +168,59 @@
 }
 
 impl Answer {
-    async fn next(&mut self, patience: f64) -> io::Result<Part> {
+    async fn next(&mut self) -> io::Result<Part> {
         loop {
             if let Some(part) = self.decoder.poll().map_err(bad)? {
-                match &part {
-                    Part::Head(head) if head.status != 200 => {
-                        return Err(bad(format!("status {}", head.status)))
-                    }
-                    _ => return Ok(part),
-                }
+                return Ok(part);
             }
             let decoder = &mut self.decoder;
-            let read = read_some(&self.stream, |bytes| decoder.feed(bytes));
-            if let Came::End = within(patience, read).await? {
-                return Err(io::ErrorKind::UnexpectedEof.into());
+            if let Came::End = read_some(&self.stream, |bytes| decoder.feed(bytes)).await? {
+                return self.decoder.finish().ok_or_else(|| io::ErrorKind::UnexpectedEof.into());
             }
         }
     }
 }
 
-/// One watch, with the whole list before it where that is needed.
-async fn session(
-    instance: &Weakly, address: SocketAddr, source: u64, whole: &mut bool, heard: &mut bool,
-) -> io::Result<()> {
-    if *whole {
-        let stream = call(address, "/discovery/hosts", true).await?;
-        let mut answer = Answer { stream, decoder: ResponseDecoder::new(MOST) };
-        let mut text = Vec::new();
-        loop {
-            match answer.next(CALL).await? {
-                Part::Head(_) => {}
-                Part::Body(more) => text.extend(more),
-                Part::End => break,
-            }
-        }
-        let mut listing: Listing = serde_json::from_slice(&text).map_err(bad)?;
-        listing.snapshot = true;
-        tell(instance, source, &listing)?;
-        (*whole, *heard) = (false, true);
-    }
-    let from = instance.upgrade().ok_or(io::ErrorKind::NotConnected)?.borrow().index;
-    let stream = call(address, &format!("/discovery/hosts?watch=1&from={from}"), false).await?;
-    let mut answer = Answer { stream, decoder: ResponseDecoder::new(usize::MAX) };
-    let mut line = Vec::new();
-    let mut patience = CALL;
+/// The whole list, then the watch on it until that ends or falls silent. The list first, each time: what is known is of
+/// before, or another address's word, and the changes that a watch begins with do not tell for how long they hold.
+async fn session(instance: &Weakly, address: SocketAddr, source: u64, pace: f64) -> io::Result<()> {
+    let listing = whole_list(instance, address, source, pace).await?;
+    tell(instance, source, &listing)?;
+    let path = format!("/discovery/hosts?watch=1&from={}", listing.index);
+    let mut answer = call(address, &path, false, usize::MAX).await?;
+    let mut objects = Objects::new(MOST);
     loop {
-        match answer.next(patience).await? {
-            Part::Head(_) => patience = SILENT,
-            Part::End => return Ok(()),
-            Part::Body(more) => {
-                *heard = true;
-                let mut rest = &more[..];
-                while let Some(at) = rest.iter().position(|byte| *byte == b'\n') {
-                    line.extend_from_slice(&rest[..at]);
-                    rest = &rest[at + 1..];
-                    let text = std::mem::take(&mut line);
-                    if text.trim_ascii().is_empty() {
-                        continue;
-                    }
-                    let listing: Listing = serde_json::from_slice(&text).map_err(|error| {
-                        warn!(%error, "a line of discovery cannot be read; the whole list is taken");
-                        *whole = true;
-                        bad(error)
-                    })?;
-                    if !tell(instance, source, &listing)? {
-                        *whole = true;
-                        return Err(bad("a version of before the known one"));
-                    }
-                }
-                line.extend_from_slice(rest);
-                if line.len() > MOST {
-                    *whole = true;
-                    return Err(bad("a line is too long"));
+        // Bytes alone are no sign of life: what drips without an end of a line is as silent as what is silent.
+        let parts = within(SILENT, async {
+            loop {
+                let Part::Body(bytes) = answer.next().await? else { return Ok(None) };
+                let parts = objects.feed(&bytes).map_err(unread)?;
+                if !parts.is_empty() {
+                    return Ok(Some(parts));
                 }
             }
+        });
+        let Some(parts) = parts.await? else { return Ok(()) };
+        for part in parts {
+            let objects::Part::Object(text) = part else { continue };
+            let listing: Listing = serde_json::from_slice(&text).map_err(unread)?;
+            if !tell(instance, source, &listing)? {
+                return Err(bad("a version of before the known one"));
+            }
         }
     }
 }
 
+fn unread(error: impl ToString) -> io::Error {
+    let error = error.to_string();
+    warn!(error, "what a watch of discovery brought cannot be read; the whole list is taken");
+    bad(error)
+}
+
 /// Hands a listing on, if this address still is the one that is heard; a newer one takes over with its first list.
 fn tell(instance: &Weakly, source: u64, listing: &Listing) -> io::Result<bool> {
     let this: Shared = instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
-    if this.borrow().source > source {
+    if !this.borrow().heeds(source) {
         return Err(bad("replaced"));
     }
     Ok(turn(&this, |this| {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -27,6 +27,8 @@
 /// reset that unread bytes bring would eat the error.
 const LINGER: f64 = 1.0;
 const LINGER_BYTES: usize = 1 << 20;
+/// How often a client that asks whether we are up is looked after while we are not, seconds.
+const ASKED_AGAIN: Duration = Duration::from_millis(10);
 
 /// How a client connection stands. Every change goes through [`Front::to`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -161,8 +163,11 @@
             let close = request.close;
             let target = request.target.split('?').next().unwrap_or("");
             if request.method == "GET" && target == "/up" {
-                self.write(&response(200, &[], b"up\n", close)).await?;
                 self.stands(Standing::Busy)?;
+                while !self.instance()?.borrow().ready() {
+                    Timer::after(ASKED_AGAIN).await;
+                }
+                self.write(&response(200, &[], b"up\n", close)).await?;
             } else if !self.transaction(request, held).await? {
                 return Ok(());
             }
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -12,11 +12,9 @@
 use std::sync::Arc;
 
 use async_executor::LocalExecutor;
-use nanorand::{Rng, WyRand};
 use quaypath::types::*;
 use quaypath_http::Request;
 use quaypath_initiator::core::{self, Action, Actions, Core};
-use quaypath_initiator::list::Call;
 use quaypath_initiator::outcome::Progress;
 use quaypath_initiator::turns::{Notify, Turns};
 use quaypath_initiator::wheel::Wheel;
@@ -36,9 +34,14 @@
 /// How often idle connections are looked over, seconds.
 const SWEEP: f64 = 0.25;
 
+/// How long a node that was told gone is remembered, seconds: no list is older than that.
+const GONE_KEPT: f64 = 60.0;
 /// Shares of the descriptors: clients, nodes; the rest is for discovery, a listener, signals and a spare.
 const CLIENTS: f64 = 0.45;
 const NODES: f64 = 0.36;
+/// Discovery is waited for so long before we say that we are up, seconds: what its agent has counts as told from our
+/// first moment, and where it is silent it has told nothing.
+const LISTENED: f64 = 1.0;
 /// Share of the memory that bodies of requests may take together, and those of answers, and of one answer. The
 /// platform's page says 64 KiB, but nodes were seen to answer reads with six times that.
 const BODIES: f64 = 0.2;
@@ -242,6 +245,7 @@
     pub fronts: BTreeMap<u64, Front>,
     next_front: u64,
     most_fronts: usize,
+    started: f64,
     pub nodes: BTreeMap<NodeId, Node>,
     /// Connections to nodes, idle ones included.
     pub backs: Rc<Cell<usize>>,
@@ -253,8 +257,12 @@
     /// The list's version, and whose word it is: with a new discovery address comes a new number.
     pub index: u64,
     pub source: u64,
-    pub asked: Rc<Notify>,
-    chance: WyRand,
+    /// The number of the newest address.
+    pub newest: u64,
+    /// Whether discovery has told its whole list since the start.
+    pub heard: bool,
+    /// Nodes that were told gone of late, with their start, and when.
+    gone: BTreeMap<NodeId, (f64, f64)>,
     pub stop: Stop,
     pub counts: Counts,
     executor: Weak<LocalExecutor<'static>>,
@@ -328,6 +336,7 @@
             fronts: BTreeMap::new(),
             next_front: 1,
             most_fronts: share(CLIENTS),
+            started: now,
             nodes: BTreeMap::new(),
             backs: Rc::default(),
             most_backs: share(NODES).max(8),
@@ -336,8 +345,9 @@
             answers: Room::new((memory * BODIES) as usize),
             index: config.known.index,
             source: 0,
-            asked: Rc::default(),
-            chance: WyRand::new_seed(config.seed ^ 0x9a7),
+            newest: 0,
+            heard: false,
+            gone: BTreeMap::new(),
             stop: Stop::No,
             counts: Counts::default(),
             executor: Rc::downgrade(executor),
@@ -348,7 +358,7 @@
         this.me = Rc::downgrade(&instance);
         this.timers.set(now + SWEEP, Timer::Sweep);
         let known = std::mem::take(&mut this.config.known);
-        this.listed(&known, ListScope::Cached);
+        this.listed(&known, ListScope::Cached, false);
         this.finish_turn();
         info!(name = this.config.name, nodes = this.nodes.len(), "started with the list as it was known");
         drop(this);
@@ -415,9 +425,8 @@
             }
             Action::Scrap(id) => self.counts.scrapped += u64::from(self.answer(id, Answer::Scrapped)),
             Action::Timer(after, tag) => self.timers.set(self.now + after.max(0.0), Timer::Core(tag)),
-            // The watch is the driver's to keep up; where the core has to ask, it waits for this word.
-            Action::Call(Call::Watch { on: true } | Call::Fetch) => self.asked.tell(),
-            Action::Call(Call::Watch { on: false }) => {}
+            // The watch is the driver's to keep up, asked for or not: the agent answers at once and at no cost.
+            Action::Call(_) => {}
             Action::Close(node) => {
                 self.nodes.get_mut(&node).into_iter().for_each(|node| node.pool.clear());
             }
@@ -568,25 +577,27 @@
 
     // Discovery.
 
-    /// News of a list; false where it is of before what is known.
+    /// Whether this address of discovery is of use: the one in force until another has told its list, and the newest.
+    pub fn heeds(&self, source: u64) -> bool {
+        source == self.source || source == self.newest && source > self.source
+    }
+
+    /// News of a list; false where it is of before what is known. A whole list of before is taken, as its versions may
+    /// be counted anew, but what is known to drain or to be gone stays so until its next start.
     pub fn news(&mut self, listing: &Listing) -> bool {
-        if !listing.snapshot && listing.index < self.index {
+        let older = listing.index < self.index;
+        if older && !listing.snapshot {
             return false;
         }
+        self.heard |= listing.snapshot;
         self.index = listing.index;
-        self.listed(listing, if listing.snapshot { ListScope::Whole } else { ListScope::Changes });
+        self.listed(listing, if listing.snapshot { ListScope::Whole } else { ListScope::Changes }, older);
         true
     }
 
-    /// A call to discovery failed.
-    pub fn discovery_failed(&mut self) {
-        self.counts.discovery_lost += 1;
-        if self.config.core.must_ask {
-            self.events.push_back(Happened::List(ListScope::Failed, Vec::new()));
-        }
-    }
-
-    fn listed(&mut self, listing: &Listing, scope: ListScope) {
+    fn listed(&mut self, listing: &Listing, scope: ListScope, older: bool) {
+        let now = self.now;
+        self.gone.retain(|_, (_, at)| now - *at < GONE_KEPT);
         let mut known = Vec::new();
         for endpoint in &listing.endpoints {
             let Ok(address) = endpoint.address.parse::<SocketAddr>() else {
@@ -598,18 +609,24 @@
                 continue;
             };
             let name = NodeId(Arc::from(endpoint.name.as_str()));
+            // Both clocks count from 1970.
+            let started = endpoint.since_ms / 1e3;
+            if older && self.gone.get(&name).is_some_and(|(gone, _)| started <= *gone) {
+                continue;
+            }
+            let drains = self.nodes.get(&name).filter(|node| node.started >= started);
             let condition = match endpoint.status {
+                Status::InService if older && drains.is_some_and(|node| node.shut_since.is_some()) => {
+                    Condition::Draining
+                }
                 Status::InService => Condition::Ready,
                 Status::Terminating => Condition::Draining,
                 Status::Terminated => Condition::Gone,
             };
-            // Both clocks count from 1970.
-            let started = endpoint.since_ms / 1e3;
             match condition {
-                Condition::Gone => {
-                    self.nodes.remove(&name);
-                }
+                Condition::Gone => self.leave(&name),
                 _ => {
+                    self.gone.remove(&name);
                     let fresh = || Node { address, pool: Pool::default(), shut_since: None, started };
                     let node = self.nodes.entry(name.clone()).or_insert_with(fresh);
                     if (node.address, node.started) != (address, started) {
@@ -620,7 +637,9 @@
                     if condition == Condition::Ready {
                         node.shut_since = None;
                     } else {
-                        node.shut_since.get_or_insert(self.now);
+                        // Only a change says that it holds from now on; a whole list tells of what may have been for long.
+                        let since = if scope == ListScope::Changes { now } else { f64::NEG_INFINITY };
+                        node.shut_since.get_or_insert(since);
                         node.pool.clear();
                     }
                 }
@@ -629,19 +648,28 @@
         }
         if scope != ListScope::Changes {
             let listed: BTreeSet<&NodeId> = known.iter().map(|(name, ..)| name).collect();
-            self.nodes.retain(|name, _| listed.contains(name));
+            let gone: Vec<NodeId> =
+                self.nodes.keys().filter(|name| !listed.contains(name)).cloned().collect();
+            gone.iter().for_each(|name| self.leave(name));
         }
         debug!(index = listing.index, ?scope, entries = known.len(), "list");
         self.events.push_back(Happened::List(scope, known));
     }
 
-    /// A wait between half and one and a half of this, seconds.
-    pub fn spread(&mut self, wait: f64) -> f64 {
-        wait * (0.5 + self.chance.generate::<f64>())
+    /// A node is no longer listed.
+    fn leave(&mut self, name: &NodeId) {
+        if let Some(node) = self.nodes.remove(name) {
+            self.gone.insert(name.clone(), (node.started, self.now));
+        }
     }
 
     // Clients.
 
+    /// Whether clients may be told that we are up.
+    pub fn ready(&self) -> bool {
+        self.heard || self.clock.now() - self.started >= LISTENED
+    }
+
     /// A new client connection, or nothing where there is no room.
     pub fn opened(&mut self) -> Option<(u64, Rc<Notify>)> {
         self.counts.accepted += 1;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod front;
 pub mod ids;
 mod instance;
+pub mod objects;
 pub mod outcome;
 
 use std::io;
@@ -126,6 +127,7 @@
                 match Config::read(&path, |name| std::env::var(name).ok()) {
                     Ok(config) => {
                         source += 1;
+                        this.borrow_mut().newest = source;
                         info!(discovery = %config.discovery, "configuration read anew");
                         // The address of before is heard until this one has told its whole list.
                         executor
