Nothing is sent for a client that has gone, and no connection outlives its node's move

Five crossings forced in crossings.rs. Failing before: a client that leaves while the connection to the node comes up, where the settings do not allow cancelling (the attempt stayed until its time, as the core cancels only with leave: Brain::lapsed, may_cancel); one that sends much at once and goes (front.rs, gone: read no further than 16 KiB, so its end was seen after 2.5 s, at the time-out); one that sends too much ahead (left to the kernel); a connection out while its node moved was put back and used for the new one (back.rs, pool.put). Sound before: the end first, by FIN and by reset; with leave to cancel.

Change: an attempt whose last byte has not left is ended with its client or its final answer, with or without leave to cancel, as no node has begun it; what ends an attempt from this side is polled first; what is sent ahead past 16 KiB is read and thrown away, and the connection ends behind the answer under way; reads from clients take 16 KiB at most, where one could hold 256 KiB; a connection is put back, or used once up, only for the node's address and start that it was opened for, and not while it drains.

--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -17,7 +17,7 @@
 
 use crate::instance::Instance;
 use crate::queue::{open_admin, open_queue, Queue};
-use crate::turns::{accepted, read_now, turn, within, Came};
+use crate::turns::{accepted, read_now, turn, within, Came, READ};
 
 pub async fn accept(
     instance: Weak<RefCell<Instance>>, executor: Weak<LocalExecutor<'static>>, listener: Async<TcpListener>,
@@ -41,7 +41,7 @@
     loop {
         let Some(this) = instance.upgrade() else { return };
         this.borrow_mut().counts.reads += 1;
-        let read = read_now(stream.get_ref(), |bytes| turn(&this, |this| take(this, bytes)));
+        let read = read_now(stream.get_ref(), READ, |bytes| turn(&this, |this| take(this, bytes)));
         let more = match read {
             Ok(Some(Came::Bytes(more))) => more,
             Ok(Some(Came::End)) => false,
--- a/crates/initiator/src/turns.rs
+++ b/crates/initiator/src/turns.rs
@@ -18,7 +18,8 @@
 use futures_lite::FutureExt;
 use tracing::warn;
 
-const READ: usize = 256 << 10;
+/// Most that is read at once.
+pub const READ: usize = 256 << 10;
 
 /// Wakes one waiting task of the same thread; a word said before the wait is not lost.
 #[derive(Default)]
@@ -35,6 +36,11 @@
         }
     }
 
+    /// Takes back a word that nobody has heard yet.
+    pub fn forget(&self) {
+        self.told.set(false);
+    }
+
     pub async fn wait(&self) {
         std::future::poll_fn(|context: &mut Context| {
             if self.told.take() {
@@ -114,9 +120,11 @@
     End,
 }
 
-/// Hands what is there to `take`, without waiting; none where nothing is.
-pub fn read_now<R>(mut stream: &TcpStream, take: impl FnOnce(&[u8]) -> R) -> io::Result<Option<Came<R>>> {
-    BUFFER.with_borrow_mut(|buffer| match stream.read(buffer) {
+/// Hands what is there, `most` bytes of it, to `take`, without waiting; none where nothing is.
+pub fn read_now<R>(
+    mut stream: &TcpStream, most: usize, take: impl FnOnce(&[u8]) -> R,
+) -> io::Result<Option<Came<R>>> {
+    BUFFER.with_borrow_mut(|buffer| match stream.read(&mut buffer[..most.min(READ)]) {
         Ok(0) => Ok(Some(Came::End)),
         Ok(count) => Ok(Some(Came::Bytes(take(&buffer[..count])))),
         Err(error) => match error.kind() {
@@ -128,10 +136,10 @@
 
 /// Waits for bytes and hands them to `take`.
 pub async fn read_some<R>(
-    stream: &Async<TcpStream>, mut take: impl FnMut(&[u8]) -> R,
+    stream: &Async<TcpStream>, most: usize, mut take: impl FnMut(&[u8]) -> R,
 ) -> io::Result<Came<R>> {
     loop {
-        match read_now(stream.get_ref(), &mut take)? {
+        match read_now(stream.get_ref(), most, &mut take)? {
             Some(came) => return Ok(came),
             None => stream.readable().await?,
         }
--- a/crates/platform/src/back.rs
+++ b/crates/platform/src/back.rs
@@ -5,69 +5,39 @@
 
 use std::cell::Cell;
 use std::io::{self, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
 use async_io::Async;
 use futures_lite::future::pending;
 use futures_lite::FutureExt;
-use quaypath::ring::Ring;
 use quaypath_http::{Part, Refused, ResponseDecoder, ResponseHead};
 use quaypath_initiator::outcome::Progress;
-use quaypath_initiator::turns::{read_now, read_some, turn, within, Came, Turns};
+use quaypath_initiator::turns::{read_now, read_some, turn, within, Came, Turns, READ};
 
 use crate::decode::{self, Told};
 use crate::front::Answer;
+use crate::idle_reuse::REST;
 use crate::instance::{Held, Message, Node, Shot, Weakly};
 use crate::outcome::Ended;
 
-/// How long a connection rests after an answer before it is used again, seconds: a second answer right behind the
-/// first has come by then, and is seen.
-const REST: f64 = 0.001;
-/// Connections may be dropped far sooner than the settings say, and without a word: by whoever keeps track of them on
-/// the way. Then those that rested for longer than what goes well are not used. Rests are told apart by doubling from
-/// [`REST`]; a kind goes badly where more than this share was lost under its request, among so many uses that are
-/// taken to have gone well. A lost request costs far more than a fresh connection, but not twice in ten.
-const BADLY: f64 = 0.1;
-const WELL: f64 = 20.0;
-const RESTS: usize = 16;
 /// Part of the node's idle time after which we close first.
 const IDLE_PART: f64 = 0.8;
 
-/// How connections fared of late, by how long they had rested before their use.
-pub struct Rests(Vec<Ring>);
-
-impl Default for Rests {
-    fn default() -> Self {
-        Rests(vec![Ring::new(3.0, 5); RESTS])
-    }
-}
-
-impl Rests {
-    pub fn note(&mut self, now: f64, rest: f64, lost: bool) {
-        let kind = (rest / REST).max(1.0).log2() as usize;
-        self.0[kind.min(RESTS - 1)].add(now, f64::from(u8::from(lost)), 1.0);
-    }
-
-    /// The rest past which a connection is not used, seconds.
-    pub fn longest(&mut self, now: f64) -> f64 {
-        let bad = self.0.iter_mut().position(|kind| kind.blend(now, 0.0, WELL) > BADLY);
-        bad.map_or(f64::INFINITY, |kind| REST * f64::powi(2.0, kind as i32))
-    }
-}
-
 /// A connection to a node, counted while it is kept.
 pub struct Back {
     stream: Async<TcpStream>,
     all: Rc<Cell<usize>>,
+    /// The node's address and start when it was opened.
+    life: (SocketAddr, f64),
     /// How long it rested before its present use; absent on its first.
     rest: Option<f64>,
 }
 
 impl Back {
-    fn new(stream: Async<TcpStream>, all: Rc<Cell<usize>>) -> Self {
+    fn new(stream: Async<TcpStream>, life: (SocketAddr, f64), all: Rc<Cell<usize>>) -> Self {
         all.set(all.get() + 1);
-        Back { stream, all, rest: None }
+        Back { stream, life, all, rest: None }
     }
 
     /// Whether it stands and holds nothing to be read.
@@ -176,22 +146,22 @@
 
 /// A connection for a shot: one of the pool, or a fresh one within the connect time-out.
 async fn connection(instance: &Weakly, shot: &Shot) -> Option<Back> {
-    let (fresh, wait, all) = {
+    let (fresh, wait, life, all) = {
         let this = instance.upgrade()?;
         let mut this = this.borrow_mut();
         let this = &mut *this;
         let now = this.clock_now();
-        let longest = this.rests.longest(now);
+        let longest = this.idle_reuse.longest(now);
         let node = this.nodes.get_mut(&shot.node)?;
         if let Some(back) = node.pool.get(now, longest, &mut this.counts.stale) {
             return Some(back);
         }
-        let address = node.address;
+        let life = (node.address, node.started());
         if this.backs.get() >= this.most_backs && !make_room(&mut this.nodes) {
             return None;
         }
         this.counts.connects += 1;
-        (Async::<TcpStream>::connect(address), this.config.waits.connect, this.backs.clone())
+        (Async::<TcpStream>::connect(life.0), this.config.waits.connect, life, this.backs.clone())
     };
     let stream = within(wait, fresh).await;
     let this = instance.upgrade()?;
@@ -199,7 +169,7 @@
     match stream {
         Ok(stream) => {
             let _ = stream.get_ref().set_nodelay(true);
-            Some(Back::new(stream, all))
+            Some(Back::new(stream, life, all))
         }
         Err(error) => {
             this.counts.connects_failed += 1;
@@ -238,9 +208,9 @@
     let back = used.insert(back);
     let bytes = {
         let Some(this) = instance.upgrade() else { return Ended::Lost };
-        // The node may have been listed as draining, or as gone, while its connection came up.
-        let (now, shut) = turn(&this, |this| (this.now, this.shut(&shot.node)));
-        if shut {
+        // The node may have been listed as draining, gone, moved or started anew while its connection came up.
+        let (now, shut, life) = turn(&this, |this| (this.now, this.shut(&shot.node), this.life(&shot.node)));
+        if shut || life != Some(back.life) {
             return Ended::Lost;
         }
         shot.to(Progress::Queued);
@@ -255,7 +225,7 @@
     // An answer may come before the request's last byte: it ends the shot all the same.
     let reading = async {
         loop {
-            match read_some(&back.stream, |bytes| incoming.take(bytes)).await {
+            match read_some(&back.stream, READ, |bytes| incoming.take(bytes)).await {
                 Ok(Came::Bytes(Ok(false))) => {}
                 Ok(Came::Bytes(Ok(true))) => return answered(incoming),
                 Ok(Came::Bytes(Err(_))) => return Ended::Spoilt,
@@ -275,7 +245,7 @@
 /// What has come and was not read yet when the time was up: a standstill of ours is not the node's.
 fn last_look(back: &Back, incoming: &mut Incoming) -> Option<Ended> {
     loop {
-        match read_now(back.stream.get_ref(), |bytes| incoming.take(bytes)) {
+        match read_now(back.stream.get_ref(), READ, |bytes| incoming.take(bytes)) {
             Ok(Some(Came::Bytes(Ok(false)))) => {}
             Ok(Some(Came::Bytes(Ok(true)))) => return Some(answered(incoming)),
             Ok(Some(Came::End)) if incoming.finish() => return Some(answered(incoming)),
@@ -290,7 +260,8 @@
     let (decoder, held) = (ResponseDecoder::new(most), room.hold(0));
     let mut incoming = Incoming { decoder, head: None, body: Vec::new(), whole: false, held };
     let mut used = None;
-    let mut ended = fly(&instance, &shot, &message, &mut used, &mut incoming).or(shot.ended()).await;
+    // What ends it from this side goes first: nothing is begun for a client that has gone by now.
+    let mut ended = shot.ended().or(fly(&instance, &shot, &message, &mut used, &mut incoming)).await;
     if ended == Ended::TimeUp && shot.progress() == Progress::Out {
         let looked = used.as_ref().and_then(|back| last_look(back, &mut incoming));
         ended = looked.unwrap_or(ended);
@@ -299,7 +270,8 @@
     let rested = used.as_ref().and_then(|back| back.rest);
     let lost = ended == Ended::Lost && incoming.head.is_none();
     // Closed, or back in the pool, before the core may send again.
-    let back = used.take().filter(|_| matches!(ended, Ended::Answered(..)) && incoming.reusable());
+    let whole = matches!(ended, Ended::Answered(..)) && shot.progress() == Progress::Out;
+    let back = used.take().filter(|_| whole && incoming.reusable());
     let (told, answer) = match incoming.head.take().filter(|_| incoming.whole) {
         Some(head) => {
             let told = decode::told(&head.headers, &this.borrow().config.waits.load);
@@ -310,35 +282,14 @@
     };
     turn(&this, |this| {
         let now = this.now;
-        rested.into_iter().for_each(|rest| this.rests.note(now, rest, lost));
+        rested.into_iter().for_each(|rest| this.idle_reuse.note(now, rest, lost));
         let shut = this.shut(&shot.node);
-        if let Some((node, back)) = this.nodes.get_mut(&shot.node).filter(|_| !shut).zip(back) {
+        // A node that moved or was started anew meanwhile has no use for it, nor one that drains.
+        let node = this.nodes.get_mut(&shot.node).filter(|node| !shut && !node.drains());
+        let known = node.zip(back).filter(|(node, back)| back.life == (node.address, node.started()));
+        if let Some((node, back)) = known {
             node.pool.put(now, back);
         }
         this.returned(&shot, ended, told, answer);
     });
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use test_case::test_case;
-
-    /// Of each ten uses so many were lost, by the rest before: which rest is the longest that is used.
-    #[test_case(&[], f64::INFINITY; "nothing known")]
-    #[test_case(&[(0.002, 0), (0.5, 0)], f64::INFINITY; "all went well")]
-    #[test_case(&[(0.003, 1), (0.02, 0), (0.2, 1)], f64::INFINITY; "a few lost after any rest: no reason to rest less")]
-    #[test_case(&[(0.003, 0), (0.02, 0), (0.2, 4), (0.5, 5)], 0.128; "lost after long rests")]
-    fn rests(uses: &[(f64, usize)], longest: f64) {
-        let mut rests = Rests::default();
-        for (rest, lost) in uses {
-            for at in 0..100 {
-                rests.note(10.0, *rest, at % 10 < *lost);
-            }
-        }
-        let found = rests.longest(10.0);
-        assert!(found == longest || (found - longest).abs() < 1e-9, "{found}");
-        // What was long ago says nothing.
-        assert_eq!(rests.longest(40.0), f64::INFINITY);
-    }
-}
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -10,7 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, FutureExt};
 use quaypath_http::{Part, ResponseDecoder};
-use quaypath_initiator::turns::{read_some, turn, within, Came};
+use quaypath_initiator::turns::{read_some, turn, within, Came, READ};
 use serde::Deserialize;
 use tracing::{debug, info, warn};
 
@@ -174,7 +174,7 @@
                 return Ok(part);
             }
             let decoder = &mut self.decoder;
-            if let Came::End = read_some(&self.stream, |bytes| decoder.feed(bytes)).await? {
+            if let Came::End = read_some(&self.stream, READ, |bytes| decoder.feed(bytes)).await? {
                 return self.decoder.finish().ok_or_else(|| io::ErrorKind::UnexpectedEof.into());
             }
         }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -29,6 +29,8 @@
 const LINGER_BYTES: usize = 1 << 20;
 /// How often a client that asks whether we are up is looked after while we are not, seconds.
 const ASKED_AGAIN: Duration = Duration::from_millis(10);
+/// Most that is read at once: what a client sends is held only as far as it is looked at.
+const READ: usize = 16 << 10;
 
 /// How a client connection stands. Every change goes through [`Front::to`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -243,7 +245,7 @@
         let now = self.instance()?.borrow().clock_now();
         let decoder = &mut self.decoder;
         let read = async {
-            match read_some(&self.stream, |bytes| decoder.feed(bytes)).await? {
+            match read_some(&self.stream, READ, |bytes| decoder.feed(bytes)).await? {
                 Came::Bytes(()) => Ok(Went::More),
                 Came::End => Ok(Went::End),
             }
@@ -281,16 +283,22 @@
             }
         };
         drop(this);
-        let (decoder, stream) = (&mut self.decoder, self.stream.clone());
+        let (decoder, stream, mut overrun) = (&mut self.decoder, self.stream.clone(), false);
         let gone = async {
-            // What comes meanwhile is the next request; past a head's length it waits in the kernel.
-            while decoder.held() < MOST_HEAD {
-                match read_some(&stream, |bytes| decoder.feed(bytes)).await {
-                    Ok(Came::Bytes(())) => {}
+            // What comes meanwhile is the next request. Past a head's length it is thrown away, and the connection
+            // ends behind this answer: left in the kernel, it would hide that its client has gone.
+            loop {
+                let room = MOST_HEAD.saturating_sub(decoder.held());
+                let keep = |bytes: &[u8]| {
+                    decoder.feed(&bytes[..bytes.len().min(room)]);
+                    bytes.len() > room
+                };
+                match read_some(&stream, READ, keep).await {
+                    Ok(Came::Bytes(over)) => overrun |= over,
                     Ok(Came::End) | Err(_) => return None,
                 }
+                yield_now().await;
             }
-            pending().await
         };
         let answer = async { Some(reply.wait().await) }.or(gone).await;
         let this = self.instance()?;
@@ -301,11 +309,12 @@
         let stopping = this.borrow().stop > Stop::No;
         drop(this);
         // At a stop the answer ends the connection, unless a further request has come behind this one.
-        let ends = stopping && {
-            let decoder = &mut self.decoder;
-            let _ = read_now(self.stream.get_ref(), |bytes| decoder.feed(bytes));
-            !decoder.unfinished()
-        };
+        let ends = overrun
+            || stopping && {
+                let decoder = &mut self.decoder;
+                let _ = read_now(self.stream.get_ref(), READ, |bytes| decoder.feed(bytes));
+                !decoder.unfinished()
+            };
         self.write(&answer.encode(wants_close || ends)).await?;
         if ends {
             self.end().await?;
@@ -333,7 +342,7 @@
         let mut left = LINGER_BYTES;
         let rest = async {
             while left > 0 {
-                match read_some(&self.stream, <[u8]>::len).await? {
+                match read_some(&self.stream, READ, <[u8]>::len).await? {
                     Came::Bytes(count) => left = left.saturating_sub(count),
                     Came::End => break,
                 }
--- /dev/null
+++ b/crates/platform/src/idle_reuse.rs
@@ -0,0 +1,35 @@
+//! Which connections to nodes may be used again, by how those fared that had rested for as long.
+
+use quaypath::ring::Ring;
+
+/// How long a connection rests after an answer before it is used again, seconds: a second answer right behind the
+/// first has come by then, and is seen.
+pub const REST: f64 = 0.001;
+/// Connections may be dropped far sooner than the settings say, and without a word: by whoever keeps track of them on
+/// the way. Then those that rested for longer than what goes well are not used. Rests are told apart by doubling from
+/// [`REST`]; a kind goes badly where more than this share was lost under its request, among so many uses that are
+/// taken to have gone well. A lost request costs far more than a fresh connection, but not twice in ten.
+const BADLY: f64 = 0.1;
+const WELL: f64 = 20.0;
+const RESTS: usize = 16;
+/// Idle reuse statistics: how connections fared of late, by how long they had rested before their use.
+pub struct IdleReuse(Vec<Ring>);
+
+impl Default for IdleReuse {
+    fn default() -> Self {
+        IdleReuse(vec![Ring::new(3.0, 5); RESTS])
+    }
+}
+
+impl IdleReuse {
+    pub fn note(&mut self, now: f64, rest: f64, lost: bool) {
+        let kind = (rest / REST).max(1.0).log2() as usize;
+        self.0[kind.min(RESTS - 1)].add(now, f64::from(u8::from(lost)), 1.0);
+    }
+
+    /// The rest past which a connection is not used, seconds.
+    pub fn longest(&mut self, now: f64) -> f64 {
+        let bad = self.0.iter_mut().position(|kind| kind.blend(now, 0.0, WELL) > BADLY);
+        bad.map_or(f64::INFINITY, |kind| REST * f64::powi(2.0, kind as i32))
+    }
+}
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -21,11 +21,12 @@
 use quaypath_record::Clock;
 use tracing::{debug, info, warn};
 
-use crate::back::{self, Pool, Rests};
+use crate::back::{self, Pool};
 use crate::config::Config;
 use crate::decode::{asked, onward, Told};
 use crate::discovery::{Listing, Status};
 use crate::front::{Answer, Front, Reply, Standing, IDLE, IDLE_PRESSED};
+use crate::idle_reuse::IdleReuse;
 use crate::ids::{ReplayWindow, Seen};
 use crate::outcome::{outcome, Ended};
 
@@ -175,6 +176,15 @@
     shot: Option<Rc<Shot>>,
 }
 
+impl Open {
+    /// Nobody waits any more. A shot whose last byte has not left is no request yet, and must not become one: that
+    /// needs no leave to cancel, as no node has begun it.
+    fn call_off(&self) {
+        let unsent = self.shot.as_ref().filter(|shot| shot.progress() < Progress::Out);
+        unsent.into_iter().for_each(|shot| shot.end(Ended::CalledOff));
+    }
+}
+
 /// Bytes that may be held together, and those that are.
 #[derive(Clone)]
 pub struct Room(Rc<(Cell<usize>, usize)>);
@@ -227,6 +237,16 @@
     started: f64,
 }
 
+impl Node {
+    pub fn started(&self) -> f64 {
+        self.started
+    }
+
+    pub fn drains(&self) -> bool {
+        self.shut_since.is_some()
+    }
+}
+
 pub type Shared = Rc<RefCell<Instance>>;
 pub type Weakly = Weak<RefCell<Instance>>;
 
@@ -250,7 +270,7 @@
     /// Connections to nodes, idle ones included.
     pub backs: Rc<Cell<usize>>,
     pub most_backs: usize,
-    pub rests: Rests,
+    pub idle_reuse: IdleReuse,
     /// For bodies of requests, and for those of answers.
     requests: Room,
     answers: Room,
@@ -340,7 +360,7 @@
             nodes: BTreeMap::new(),
             backs: Rc::default(),
             most_backs: share(NODES).max(8),
-            rests: Rests::default(),
+            idle_reuse: IdleReuse::default(),
             requests: Room::new((memory * BODIES) as usize),
             answers: Room::new((memory * BODIES) as usize),
             index: config.known.index,
@@ -477,6 +497,7 @@
         let Some(open) = self.open.get_mut(&id).filter(|open| open.client.is_some()) else { return };
         open.client = None;
         let out = open.shot.is_some();
+        open.call_off();
         self.counts.lapsed += 1;
         self.events.push_back(Happened::Lapsed(id));
         if !out {
@@ -496,6 +517,7 @@
     fn answer(&mut self, id: u64, answer: Answer) -> bool {
         let Some(open) = self.open.get_mut(&id) else { return false };
         let Some(reply) = open.client.take() else { return false };
+        open.call_off();
         if open.shot.is_none() {
             self.forget(id);
         }
@@ -566,12 +588,17 @@
         shots.filter(|shot| shot.node == *node).count()
     }
 
+    /// Where a node is, and since when: a connection leads to one that was started there then, and to no other.
+    pub fn life(&self, node: &NodeId) -> Option<(SocketAddr, f64)> {
+        self.nodes.get(node).map(|node| (node.address, node.started))
+    }
+
     /// Whether nothing may leave for a node any more: it has drained for as long as the rule allows, with room
     /// for what the kernel takes.
     pub fn shut(&self, node: &NodeId) -> bool {
         let since = self.nodes.get(node).map(|node| node.shut_since);
         since.is_none_or(|since| {
-            since.is_some_and(|since| self.now - since > 0.8 * self.config.waits.drain_grace)
+            since.is_some_and(|since| self.now - since >= 0.8 * self.config.waits.drain_grace)
         })
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod decode;
 mod discovery;
 mod front;
+pub mod idle_reuse;
 pub mod ids;
 mod instance;
 pub mod objects;
--- a/crates/programs/tests/crossings.rs
+++ b/crates/programs/tests/crossings.rs
@@ -67,6 +67,150 @@
     }
 }
 
+/// Guards against a request sent on for nobody: its client left while the connection to the node was coming up.
+#[test_case(true; "where the settings allow cancelling")]
+#[test_case(false; "where they do not")]
+fn nothing_is_sent_for_a_client_that_left_while_its_connection_came_up(may_cancel: bool) {
+    let node = Hand::start();
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let gateway = Gateway::start(&list, discovery.address, |config| {
+        config["settings"]["Ceilings"]["MayCancel"] = json!(may_cancel);
+        config["settings"]["Ceilings"]["ConnectTimeout"] = json!(4.0);
+    });
+    let held = node.full();
+    let mut client = gateway.connect();
+    client.write_all(put("buy", "gone", "2500m").as_bytes()).expect("sent");
+    until("its connection is coming up", || opening(node.address) == 1);
+    drop(client);
+    let left = Instant::now();
+    until("it is called off", || opening(node.address) == 0);
+    assert!(left.elapsed() < Duration::from_secs(1), "with its client, not by its time-out");
+    // Room again: whatever still wants a connection gets one, and the next request is the first that comes.
+    held.iter().for_each(|_| drop(node.accept()));
+    let mut next = gateway.connect();
+    next.write_all(put("lookup", "next", "1200m").as_bytes()).expect("sent");
+    assert_eq!(id_of(&first_request(&node)), "next");
+}
+
+/// Guards against a further attempt for nobody: the failed answer and the client's end lie in the kernel together, in
+/// both orders.
+#[test_case(false, false; "its end first")]
+#[test_case(true, false; "the answer first")]
+#[test_case(false, true; "its reset first")]
+fn no_further_attempt_for_a_client_that_has_left(answer_first: bool, by_reset: bool) {
+    let node = Hand::start();
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let gateway = Gateway::start(&list, discovery.address, |_| {});
+    let mut client = gateway.connect();
+    client.write_all(put("lookup", "gone", "1200m").as_bytes()).expect("sent");
+    let mut back = node.accept();
+    assert_eq!(id_of(&message(&mut back).expect("a request").0), "gone");
+    gateway.while_stopped(|| {
+        if answer_first {
+            assert!(answer(&mut back, "500 Error", ""));
+        }
+        if by_reset {
+            resets(&client);
+        }
+        drop(client);
+        if !answer_first {
+            assert!(answer(&mut back, "500 Error", ""));
+        }
+    });
+    // The next client's request is the next that comes, on whatever connection.
+    let mut next = gateway.connect();
+    next.write_all(put("lookup", "next", "1200m").as_bytes()).expect("sent");
+    back.set_read_timeout(Some(Duration::from_millis(300))).expect("a time-out");
+    let head = message(&mut back).map_or_else(|| first_request(&node), |(head, _)| head);
+    assert_eq!(id_of(&head), "next");
+}
+
+/// Guards against a client that sends much at once and goes, whose end is not seen behind all that.
+#[test]
+fn one_that_sends_much_at_once_and_goes_is_seen_to_leave() {
+    let node = Hand::start();
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let gateway = Gateway::start(&list, discovery.address, |_| {});
+    let mut client = gateway.connect();
+    client.write_all(put("buy", "gone", "2500m").as_bytes()).expect("sent");
+    let mut back = node.accept();
+    assert_eq!(id_of(&message(&mut back).expect("a request").0), "gone");
+    let much: String = (0..300).map(|number| put("lookup", &format!("much{number}"), "1200m")).collect();
+    assert!(much.len() > 50_000);
+    client.write_all(much.as_bytes()).expect("sent");
+    drop(client);
+    // Its end ends the attempt, long before its time: nobody waits for the answer.
+    let left = Instant::now();
+    assert!(matches!(back.read(&mut [0]), Ok(0) | Err(_)), "closed");
+    assert!(left.elapsed() < Duration::from_secs(1), "{:?}", left.elapsed());
+    let mut next = gateway.connect();
+    next.write_all(put("lookup", "next", "1200m").as_bytes()).expect("sent");
+    assert_eq!(id_of(&first_request(&node)), "next");
+}
+
+/// Guards against requests sent ahead that are left without a word past what is held of them.
+#[test]
+fn one_that_sends_too_much_ahead_gets_an_answer_that_ends_the_connection() {
+    let node = Hand::start();
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let gateway = Gateway::start(&list, discovery.address, |_| {});
+    let mut client = gateway.connect();
+    client.write_all(put("lookup", "first", "1200m").as_bytes()).expect("sent");
+    let mut back = node.accept();
+    message(&mut back).expect("a request");
+    let much: String = (0..300).map(|number| put("lookup", &format!("much{number}"), "1200m")).collect();
+    client.write_all(much.as_bytes()).expect("sent");
+    // A second client's request behind all that is served, so what came has been read.
+    let mut other = gateway.connect();
+    other.write_all(put("lookup", "other", "1200m").as_bytes()).expect("sent");
+    let mut second = node.accept();
+    let (head, _) = message(&mut second).expect("a request");
+    assert!(settles(0, &mut second, &head));
+    assert_eq!(exchange(&mut other, "").2, "other");
+    assert!(settles(0, &mut back, "X-Request-ID: first"));
+    let (bytes, error) = rest(&mut client);
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(
+        text.starts_with("HTTP/1.1 200") && text.contains("Connection: close") && text.ends_with("first"),
+        "{text}"
+    );
+    assert_eq!(error, None, "ended in order");
+}
+
+/// Guards against a stale connection: one that was out while its node moved leads to what was there before.
+#[test]
+fn a_connection_that_was_out_while_its_node_moved_is_not_kept() {
+    let (before, after) = (Hand::start(), Node::start(settles));
+    let list = listing(41, &[("s-1", before.address, "in_service")]);
+    let calls = Calls::start();
+    let gateway = Gateway::start(&list, calls.address, |_| {});
+    let mut watch = calls.begin(&list);
+    let mut client = gateway.connect();
+    client.write_all(put("lookup", "out", "1200m").as_bytes()).expect("sent");
+    let mut back = before.accept();
+    message(&mut back).expect("a request");
+    let mut changed =
+        listing(42, &[("s-1", after.address, "in_service"), ("s-2", after.address, "in_service")]);
+    changed["endpoints"][1]["group"] = json!(2);
+    watch.piece(&format!("{changed}\n"));
+    let mut number = 0;
+    until("the change is read", || {
+        number += 1;
+        let text = put("lookup", &format!("id{number}"), "1000m").replace("shard=3", "shard=2");
+        exchange(&mut gateway.connect(), &text).0 == 200
+    });
+    let known = after.requests();
+    assert!(settles(0, &mut back, "X-Request-ID: out"));
+    assert_eq!(exchange(&mut client, "").2, "out");
+    assert!(matches!(back.read(&mut [0]), Ok(0) | Err(_)), "closed");
+    assert_eq!(exchange(&mut client, &put("lookup", "again", "1200m")).2, "again");
+    assert_eq!(after.requests(), known + 1);
+}
+
 /// Guards against a change missed: the watch goes silent, and the first new call hangs. What changed meanwhile is obeyed
 /// within 6 s of the silence.
 #[test_case(Silence::BehindHead)]
