A client that is evicted makes room at once, and does not linger

Cause: front.rs, end(): an evicted connection lingered for up to a second like any other and went on to count, so that four of a crowd filled what stands above the clients' share. Change: eviction is a state of its own, whose close ends the sending and goes at once.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -47,6 +47,8 @@
     Busy,
     /// To be closed, unless a request has come meanwhile.
     Closing,
+    /// The same, and its room is wanted at once.
+    Evicted,
     /// No more is sent on it, and what still comes is thrown away for a while.
     Lingering,
 }
@@ -60,7 +62,7 @@
 impl Front {
     pub fn to(&mut self, next: Standing, now: f64) {
         (self.standing, self.since) = (next, now);
-        if next == Standing::Closing {
+        if matches!(next, Standing::Closing | Standing::Evicted) {
             self.kick.tell();
         } else {
             // What a request has come before is not to be closed at the next wait.
@@ -366,6 +368,13 @@
 
     /// Says that no more is sent, and takes what is still coming for a while, or until its room is wanted.
     async fn end(&self) -> io::Result<()> {
+        let this = self.instance()?;
+        let evicted =
+            this.borrow().fronts.get(&self.number).map(|front| front.standing) == Some(Standing::Evicted);
+        drop(this);
+        if evicted {
+            return self.stream.get_ref().shutdown(Shutdown::Write);
+        }
         self.stands(Standing::Lingering)?;
         let kicked = async {
             self.kick.wait().await;
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -751,7 +751,7 @@
         let best = ranked.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
         let Some((_, _, at)) = best else { return false };
         self.counts.evicted += 1;
-        self.fronts.get_mut(&at).into_iter().for_each(|front| front.to(Standing::Closing, self.now));
+        self.fronts.get_mut(&at).into_iter().for_each(|front| front.to(Standing::Evicted, self.now));
         true
     }
 
