--- a/crates/programs/tests/hard_cases.rs
+++ b/crates/programs/tests/hard_cases.rs
@@ -414,7 +414,7 @@
     let (mut gateway, mut client) = one(&Shape::default(), target.address);
     settled(&mut client);
     drop(client);
-    gateway.restart_alone();
+    gateway.restart_alone(target.address);
     let mut client = Client::connect(gateway.address);
     client.ask(BUY, 1, 0x100, 8);
     assert_eq!(client.io.answer().1, status::SUCCESS);
--- a/crates/programs/tests/helper/mod.rs
+++ b/crates/programs/tests/helper/mod.rs
@@ -140,8 +140,14 @@
         Gateway { child, lines, address, register, folder }
     }
 
-    /// Kills it, and starts it again with nothing but its last list; the register is not to be found.
-    pub fn restart_alone(&mut self) {
+    /// Kills it once its list with this node is on disk, as that is written beside its work, and starts it again with
+    /// nothing but that; the register is not to be found.
+    pub fn restart_alone(&mut self, node: SocketAddr) {
+        let (file, began) = (self.folder.join("list"), Instant::now());
+        while !std::fs::read_to_string(&file).is_ok_and(|text| text.contains(&node.to_string())) {
+            assert!(began.elapsed() < Duration::from_secs(20), "the list is not written");
+            std::thread::sleep(Duration::from_millis(2));
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
         let mut child = Self::spawn(&self.folder, "127.0.0.1:1");
