Calls under way to one discovery address are four at most

The second oldest is given up for a new one, as the oldest may be reading a long list and has its own time.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -24,12 +24,14 @@
 /// misses counts as told 6 s after it fell silent.
 const SILENT: f64 = 2.6;
 /// While the list is not had, a further call begins every so many seconds, whether those before hang, were refused or
-/// failed; not so many are under way that the first is not given up by then. What discovery learns while it is down
+/// failed. What discovery learns while it is down
 /// counts at once when it is back, and a node that drains then is kept within the settings' grace: a part of that is the
 /// pace, within these bounds. The agent answers at once and at no cost.
 const PACE: f64 = 0.2;
 const QUICKEST: f64 = 0.05;
 const GRACE_PART: f64 = 0.25;
+/// Most calls under way to one address, as each takes a descriptor.
+const CALLS: usize = 4;
 /// Longest list or object, bytes.
 const MOST: usize = 4 << 20;
 
@@ -94,9 +96,11 @@
         if instance.upgrade().is_none_or(|this| !this.borrow().heeds(source)) {
             return Err(bad("replaced"));
         }
-        if calls.len() as f64 * pace < CALL {
-            calls.push(Box::pin(list(address)));
+        if calls.len() >= CALLS {
+            // The oldest may be in the middle of a long list: that goes on until its own time is up.
+            drop(calls.remove(1));
         }
+        calls.push(Box::pin(list(address)));
         let first = poll_fn(|context| {
             let mut had = None;
             calls.retain_mut(|call| match call.as_mut().poll(context) {
