--- a/crates/platform/src/back.rs
+++ b/crates/platform/src/back.rs
@@ -18,7 +18,7 @@
 use crate::decode::{self, Told};
 use crate::front::Answer;
 use crate::idle_reuse::REST;
-use crate::instance::{Held, Message, Node, Shot, Weakly};
+use crate::instance::{Message, Node, Permit, Shot, Weakly};
 use crate::outcome::Ended;
 
 /// Part of the node's idle time after which we close first.
@@ -114,7 +114,7 @@
     head: Option<ResponseHead>,
     body: Vec<u8>,
     whole: bool,
-    held: Held,
+    held: Permit,
 }
 
 impl Incoming {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -13,7 +13,7 @@
 use quaypath_http::{error, response, Request, RequestDecoder, MOST_HEAD};
 use quaypath_initiator::turns::{read_now, read_some, turn, within, Came, Notify, Turns};
 
-use crate::instance::{Held, Shared, Stop, Weakly};
+use crate::instance::{Permit, Shared, Stop, Weakly};
 
 /// A whole request is wanted within so many seconds of the connection's opening, or of its own first byte.
 const PATIENCE: f64 = 2.5;
@@ -74,7 +74,7 @@
 /// A final answer.
 pub enum Answer {
     /// What the node sent: kind and body, counted until it is written.
-    Settled(Option<String>, Vec<u8>, #[allow(dead_code)] Held),
+    Settled(Option<String>, Vec<u8>, #[allow(dead_code)] Permit),
     /// Nothing came of it, and it may be tried again after so many seconds.
     Declined(f64),
     /// No promise.
@@ -191,11 +191,11 @@
     }
 
     /// The next whole request with the room for its body; none where the connection has been closed.
-    async fn request(&mut self) -> io::Result<Option<(Request, Held)>> {
+    async fn request(&mut self) -> io::Result<Option<(Request, Permit)>> {
         let opened = self.stands(Standing::Idle)?;
         let first = self.arrived == 0.0;
         let mut until = first.then_some(opened + PATIENCE);
-        let mut held: Option<Held> = None;
+        let mut held: Option<Permit> = None;
         let mut told = false;
         loop {
             match self.decoder.poll() {
@@ -264,7 +264,7 @@
         Ok(true)
     }
 
-    fn hold(&self, bytes: usize) -> Option<Held> {
+    fn hold(&self, bytes: usize) -> Option<Permit> {
         let this = self.instance.upgrade()?;
         let held = this.borrow_mut().hold(bytes);
         held
@@ -299,7 +299,7 @@
     }
 
     /// One transaction from its request to its final answer; false where the connection has been closed.
-    async fn transaction(&mut self, request: Request, held: Held) -> io::Result<bool> {
+    async fn transaction(&mut self, request: Request, held: Permit) -> io::Result<bool> {
         let this = self.instance()?;
         self.stands(Standing::Busy)?;
         let wants_close = request.close;
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -166,7 +166,7 @@
 pub struct Message {
     pub head: Vec<u8>,
     pub body: Vec<u8>,
-    _held: Held,
+    _held: Permit,
 }
 
 struct Open {
@@ -195,20 +195,20 @@
     }
 }
 
-/// Bytes that may be held together, and those that are.
+/// A memory budget: bytes that may be held together, and those that are.
 #[derive(Clone)]
-pub struct Room(Rc<(Cell<usize>, usize)>);
+pub struct MemoryBudget(Rc<(Cell<usize>, usize)>);
 
-impl Room {
+impl MemoryBudget {
     fn new(most: usize) -> Self {
-        Room(Rc::new((Cell::new(0), most)))
+        MemoryBudget(Rc::new((Cell::new(0), most)))
     }
 
     /// Counts so many bytes, whether there is room or not.
-    pub fn hold(&self, bytes: usize) -> Held {
+    pub fn hold(&self, bytes: usize) -> Permit {
         let (all, _) = &*self.0;
         all.set(all.get() + bytes);
-        Held(self.clone(), bytes)
+        Permit(self.clone(), bytes)
     }
 
     fn left(&self) -> usize {
@@ -216,10 +216,10 @@
     }
 }
 
-/// Bytes that are counted while this is kept.
-pub struct Held(Room, usize);
+/// A permit: bytes that are counted while this is kept.
+pub struct Permit(MemoryBudget, usize);
 
-impl Held {
+impl Permit {
     /// Counts more bytes, if there is room.
     pub fn grow(&mut self, bytes: usize) -> bool {
         let fits = bytes <= self.0.left();
@@ -232,7 +232,7 @@
     }
 }
 
-impl Drop for Held {
+impl Drop for Permit {
     fn drop(&mut self) {
         let (all, _) = &*self.0 .0;
         all.set(all.get() - self.1);
@@ -284,8 +284,8 @@
     pub most_backs: usize,
     pub idle_reuse: IdleReuse,
     /// For bodies of requests, and for those of answers.
-    requests: Room,
-    answers: Room,
+    requests: MemoryBudget,
+    answers: MemoryBudget,
     /// The list's version, and whose word it is: with a new discovery address comes a new number.
     pub index: u64,
     pub source: u64,
@@ -375,8 +375,8 @@
             backs: Rc::default(),
             most_backs: share(NODES).max(8),
             idle_reuse: IdleReuse::default(),
-            requests: Room::new((memory * BODIES) as usize),
-            answers: Room::new((memory * BODIES) as usize),
+            requests: MemoryBudget::new((memory * BODIES) as usize),
+            answers: MemoryBudget::new((memory * BODIES) as usize),
             index: config.known.index,
             source: 0,
             newest: 0,
@@ -472,7 +472,7 @@
 
     /// Takes a request whose last byte came at `arrived`, or gives the status that its sender is owed.
     pub fn take(
-        &mut self, request: Request, held: Held, arrived: f64,
+        &mut self, request: Request, held: Permit, arrived: f64,
     ) -> Result<(u64, Rc<Reply>), (u16, &'static str)> {
         if self.stop == Stop::Over {
             return Err((503, "the process ends"));
@@ -540,13 +540,13 @@
     }
 
     /// Room for a body of so many bytes, if there is any.
-    pub fn hold(&mut self, bytes: usize) -> Option<Held> {
+    pub fn hold(&mut self, bytes: usize) -> Option<Permit> {
         let mut held = self.requests.hold(0);
         held.grow(bytes).then_some(held)
     }
 
-    /// The room for answers, and the longest body of one.
-    pub fn answers(&self) -> (Room, usize) {
+    /// The budget for answers, and the longest body of one.
+    pub fn answers(&self) -> (MemoryBudget, usize) {
         (self.answers.clone(), (self.config.limits.memory_mb * 1e6 * ONE_ANSWER) as usize)
     }
 
