--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -34,9 +34,9 @@
 /// Most that is read at once: what a client sends is held only as far as it is looked at.
 const READ: usize = 16 << 10;
 
-/// How a client connection stands. Every change goes through [`Front::to`].
+/// The state of a client connection. Every change goes through [`Front::to`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
+pub enum ConnectionState {
     /// Opened, and no whole request yet.
     Fresh,
     /// Between two requests.
@@ -54,15 +54,15 @@
 }
 
 pub struct Front {
-    pub standing: Standing,
+    pub state: ConnectionState,
     pub since: f64,
     pub kick: Rc<Notify>,
 }
 
 impl Front {
-    pub fn to(&mut self, next: Standing, now: f64) {
-        (self.standing, self.since) = (next, now);
-        if matches!(next, Standing::Closing | Standing::Evicted) {
+    pub fn to(&mut self, next: ConnectionState, now: f64) {
+        (self.state, self.since) = (next, now);
+        if matches!(next, ConnectionState::Closing | ConnectionState::Evicted) {
             self.kick.tell();
         } else {
             // What a request has come before is not to be closed at the next wait.
@@ -154,15 +154,15 @@
         self.instance.upgrade().ok_or(io::ErrorKind::NotConnected.into())
     }
 
-    /// Notes how the connection stands.
-    fn stands(&self, standing: Standing) -> io::Result<f64> {
+    /// Notes the state that the connection is in now.
+    fn enter(&self, state: ConnectionState) -> io::Result<f64> {
         let this = self.instance()?;
         let mut this = this.borrow_mut();
         let now = this.clock_now();
         if let Some(front) = this.fronts.get_mut(&self.number) {
-            let known = front.standing;
-            if known != standing && !(known == Standing::Fresh && standing == Standing::Idle) {
-                front.to(standing, now);
+            let known = front.state;
+            if known != state && !(known == ConnectionState::Fresh && state == ConnectionState::Idle) {
+                front.to(state, now);
             }
         }
         Ok(now)
@@ -174,7 +174,7 @@
             let close = request.close;
             let target = request.target.split('?').next().unwrap_or("");
             if request.method == "GET" && target == "/up" {
-                self.stands(Standing::Busy)?;
+                self.enter(ConnectionState::Busy)?;
                 while !self.instance()?.borrow().ready() {
                     Timer::after(ASKED_AGAIN).await;
                 }
@@ -192,7 +192,7 @@
 
     /// The next whole request with the room for its body; none where the connection has been closed.
     async fn request(&mut self) -> io::Result<Option<(Request, Permit)>> {
-        let opened = self.stands(Standing::Idle)?;
+        let opened = self.enter(ConnectionState::Idle)?;
         let first = self.arrived == 0.0;
         let mut until = first.then_some(opened + PATIENCE);
         let mut held: Option<Permit> = None;
@@ -229,7 +229,7 @@
                     self.refuse(503, "the process ends").await?;
                     return Ok(None);
                 }
-                let now = self.stands(Standing::Reading)?;
+                let now = self.enter(ConnectionState::Reading)?;
                 until.get_or_insert(now + PATIENCE);
             }
             match self.more(until).await? {
@@ -246,7 +246,7 @@
                             self.end().await?;
                             return Ok(None);
                         }
-                        self.stands(Standing::Idle)?;
+                        self.enter(ConnectionState::Idle)?;
                     }
                 }
             }
@@ -301,7 +301,7 @@
     /// One transaction from its request to its final answer; false where the connection has been closed.
     async fn transaction(&mut self, request: Request, held: Permit) -> io::Result<bool> {
         let this = self.instance()?;
-        self.stands(Standing::Busy)?;
+        self.enter(ConnectionState::Busy)?;
         let wants_close = request.close;
         let taken = turn(&this, |this| this.take(request, held, self.arrived));
         let (id, reply) = match taken {
@@ -370,12 +370,12 @@
     async fn end(&self) -> io::Result<()> {
         let this = self.instance()?;
         let evicted =
-            this.borrow().fronts.get(&self.number).map(|front| front.standing) == Some(Standing::Evicted);
+            this.borrow().fronts.get(&self.number).map(|front| front.state) == Some(ConnectionState::Evicted);
         drop(this);
         if evicted {
             return self.stream.get_ref().shutdown(Shutdown::Write);
         }
-        self.stands(Standing::Lingering)?;
+        self.enter(ConnectionState::Lingering)?;
         let kicked = async {
             self.kick.wait().await;
             Ok(())
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -25,7 +25,7 @@
 use crate::config::Config;
 use crate::decode::{asked, onward, Told};
 use crate::discovery::{Listing, Status};
-use crate::front::{Answer, Front, Reply, Standing, IDLE, IDLE_PRESSED};
+use crate::front::{Answer, ConnectionState, Front, Reply, IDLE, IDLE_PRESSED};
 use crate::idle_reuse::IdleReuse;
 use crate::ids::{ReplayWindow, Seen};
 use crate::outcome::{outcome, Ended};
@@ -725,7 +725,8 @@
         }
         let (number, kick) = (self.next_front, Rc::<Notify>::default());
         self.next_front += 1;
-        self.fronts.insert(number, Front { standing: Standing::Fresh, since: self.now, kick: kick.clone() });
+        self.fronts
+            .insert(number, Front { state: ConnectionState::Fresh, since: self.now, kick: kick.clone() });
         Some((number, kick))
     }
 
@@ -740,18 +741,18 @@
     /// just been opened. None with a transaction, nor with a request half read.
     fn evict(&mut self) -> bool {
         let quick = 0.2;
-        let order = |front: &Front| match front.standing {
-            Standing::Fresh if self.now - front.since > quick => Some(0),
-            Standing::Lingering => Some(0),
-            Standing::Idle => Some(1),
-            Standing::Fresh => Some(2),
+        let order = |front: &Front| match front.state {
+            ConnectionState::Fresh if self.now - front.since > quick => Some(0),
+            ConnectionState::Lingering => Some(0),
+            ConnectionState::Idle => Some(1),
+            ConnectionState::Fresh => Some(2),
             _ => None,
         };
         let ranked = self.fronts.iter().filter_map(|(at, front)| Some((order(front)?, front.since, *at)));
         let best = ranked.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
         let Some((_, _, at)) = best else { return false };
         self.counts.evicted += 1;
-        self.fronts.get_mut(&at).into_iter().for_each(|front| front.to(Standing::Evicted, self.now));
+        self.fronts.get_mut(&at).into_iter().for_each(|front| front.to(ConnectionState::Evicted, self.now));
         true
     }
 
@@ -763,9 +764,10 @@
         }
         if next == Stop::Over {
             // Nor is anything taken any more: an order to close reaches those that wait for the rest of a request.
-            let waits = |front: &&mut Front| matches!(front.standing, Standing::Fresh | Standing::Reading);
+            let waits =
+                |front: &&mut Front| matches!(front.state, ConnectionState::Fresh | ConnectionState::Reading);
             let now = self.now;
-            self.fronts.values_mut().filter(waits).for_each(|front| front.to(Standing::Closing, now));
+            self.fronts.values_mut().filter(waits).for_each(|front| front.to(ConnectionState::Closing, now));
             // What is open by now has come to no end that could be told.
             let open: Vec<u64> = self.open.keys().copied().collect();
             for id in open {
@@ -777,8 +779,8 @@
     /// Closes client connections that are idle for longer than this, seconds.
     fn close_idle(&mut self, most: f64) {
         let now = self.now;
-        let idle = |front: &&mut Front| front.standing == Standing::Idle && now - front.since > most;
-        self.fronts.values_mut().filter(idle).for_each(|front| front.to(Standing::Closing, now));
+        let idle = |front: &&mut Front| front.state == ConnectionState::Idle && now - front.since > most;
+        self.fronts.values_mut().filter(idle).for_each(|front| front.to(ConnectionState::Closing, now));
     }
 
     fn sweep(&mut self) {
