--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -34,7 +34,7 @@
 /// Most that is read at once: what a client sends is held only as far as it is looked at.
 const READ: usize = 16 << 10;
 
-/// The state of a client connection. Every change goes through [`Front::to`].
+/// The state of a client connection. Every change goes through [`ClientConnection::to`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionState {
     /// Opened, and no whole request yet.
@@ -53,13 +53,13 @@
     Lingering,
 }
 
-pub struct Front {
+pub struct ClientConnection {
     pub state: ConnectionState,
     pub since: f64,
     pub kick: Rc<Notify>,
 }
 
-impl Front {
+impl ClientConnection {
     pub fn to(&mut self, next: ConnectionState, now: f64) {
         (self.state, self.since) = (next, now);
         if matches!(next, ConnectionState::Closing | ConnectionState::Evicted) {
@@ -127,7 +127,7 @@
         Client { instance, number, kick, stream, decoder: RequestDecoder::default(), arrived: 0.0 };
     let _ = client.run().await;
     if let Some(this) = client.instance.upgrade() {
-        this.borrow_mut().fronts.remove(&number);
+        this.borrow_mut().clients.remove(&number);
     }
 }
 
@@ -159,10 +159,10 @@
         let this = self.instance()?;
         let mut this = this.borrow_mut();
         let now = this.clock_now();
-        if let Some(front) = this.fronts.get_mut(&self.number) {
-            let known = front.state;
+        if let Some(client) = this.clients.get_mut(&self.number) {
+            let known = client.state;
             if known != state && !(known == ConnectionState::Fresh && state == ConnectionState::Idle) {
-                front.to(state, now);
+                client.to(state, now);
             }
         }
         Ok(now)
@@ -369,8 +369,8 @@
     /// Says that no more is sent, and takes what is still coming for a while, or until its room is wanted.
     async fn end(&self) -> io::Result<()> {
         let this = self.instance()?;
-        let evicted =
-            this.borrow().fronts.get(&self.number).map(|front| front.state) == Some(ConnectionState::Evicted);
+        let evicted = this.borrow().clients.get(&self.number).map(|client| client.state)
+            == Some(ConnectionState::Evicted);
         drop(this);
         if evicted {
             return self.stream.get_ref().shutdown(Shutdown::Write);
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -25,7 +25,7 @@
 use crate::config::Config;
 use crate::decode::{asked, onward, Told};
 use crate::discovery::{Listing, Status};
-use crate::front::{Answer, ConnectionState, Front, Reply, IDLE, IDLE_PRESSED};
+use crate::front::{Answer, ClientConnection, ConnectionState, Reply, IDLE, IDLE_PRESSED};
 use crate::idle_reuse::IdleReuse;
 use crate::ids::{ReplayWindow, Seen};
 use crate::outcome::{outcome, Ended};
@@ -272,9 +272,9 @@
     open: BTreeMap<u64, Open>,
     next_id: u64,
     ids: ReplayWindow,
-    pub fronts: BTreeMap<u64, Front>,
-    next_front: u64,
-    most_fronts: usize,
+    pub clients: BTreeMap<u64, ClientConnection>,
+    next_client: u64,
+    most_clients: usize,
     refusals: Rc<()>,
     most_refusals: usize,
     started: f64,
@@ -365,9 +365,9 @@
             open: BTreeMap::new(),
             next_id: 1,
             ids: ReplayWindow::default(),
-            fronts: BTreeMap::new(),
-            next_front: 1,
-            most_fronts: share(CLIENTS),
+            clients: BTreeMap::new(),
+            next_client: 1,
+            most_clients: share(CLIENTS),
             refusals: Rc::default(),
             most_refusals: share(REFUSALS).max(FEWEST_REFUSALS),
             started: now,
@@ -552,7 +552,7 @@
 
     /// No transaction is open, and no client connected.
     pub fn nothing_left(&self) -> bool {
-        self.open.is_empty() && self.fronts.is_empty()
+        self.open.is_empty() && self.clients.is_empty()
     }
 
     // Shots.
@@ -713,20 +713,22 @@
 
     /// Whether more clients are connected than have room: some of them are about to close.
     pub fn crowded(&self) -> bool {
-        self.fronts.len() > self.most_fronts
+        self.clients.len() > self.most_clients
     }
 
     /// A new client connection, or nothing where there is no room.
     pub fn opened(&mut self) -> Option<(u64, Rc<Notify>)> {
         self.counts.accepted += 1;
-        let most = self.most_fronts + CLOSING;
-        if self.fronts.len() >= self.most_fronts && (self.fronts.len() >= most || !self.evict()) {
+        let most = self.most_clients + CLOSING;
+        if self.clients.len() >= self.most_clients && (self.clients.len() >= most || !self.evict()) {
             return None;
         }
-        let (number, kick) = (self.next_front, Rc::<Notify>::default());
-        self.next_front += 1;
-        self.fronts
-            .insert(number, Front { state: ConnectionState::Fresh, since: self.now, kick: kick.clone() });
+        let (number, kick) = (self.next_client, Rc::<Notify>::default());
+        self.next_client += 1;
+        self.clients.insert(
+            number,
+            ClientConnection { state: ConnectionState::Fresh, since: self.now, kick: kick.clone() },
+        );
         Some((number, kick))
     }
 
@@ -741,18 +743,21 @@
     /// just been opened. None with a transaction, nor with a request half read.
     fn evict(&mut self) -> bool {
         let quick = 0.2;
-        let order = |front: &Front| match front.state {
-            ConnectionState::Fresh if self.now - front.since > quick => Some(0),
+        let order = |client: &ClientConnection| match client.state {
+            ConnectionState::Fresh if self.now - client.since > quick => Some(0),
             ConnectionState::Lingering => Some(0),
             ConnectionState::Idle => Some(1),
             ConnectionState::Fresh => Some(2),
             _ => None,
         };
-        let ranked = self.fronts.iter().filter_map(|(at, front)| Some((order(front)?, front.since, *at)));
+        let ranked = self.clients.iter().filter_map(|(at, client)| Some((order(client)?, client.since, *at)));
         let best = ranked.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
         let Some((_, _, at)) = best else { return false };
         self.counts.evicted += 1;
-        self.fronts.get_mut(&at).into_iter().for_each(|front| front.to(ConnectionState::Evicted, self.now));
+        self.clients
+            .get_mut(&at)
+            .into_iter()
+            .for_each(|client| client.to(ConnectionState::Evicted, self.now));
         true
     }
 
@@ -764,10 +769,14 @@
         }
         if next == Stop::Over {
             // Nor is anything taken any more: an order to close reaches those that wait for the rest of a request.
-            let waits =
-                |front: &&mut Front| matches!(front.state, ConnectionState::Fresh | ConnectionState::Reading);
+            let waits = |client: &&mut ClientConnection| {
+                matches!(client.state, ConnectionState::Fresh | ConnectionState::Reading)
+            };
             let now = self.now;
-            self.fronts.values_mut().filter(waits).for_each(|front| front.to(ConnectionState::Closing, now));
+            self.clients
+                .values_mut()
+                .filter(waits)
+                .for_each(|client| client.to(ConnectionState::Closing, now));
             // What is open by now has come to no end that could be told.
             let open: Vec<u64> = self.open.keys().copied().collect();
             for id in open {
@@ -779,8 +788,10 @@
     /// Closes client connections that are idle for longer than this, seconds.
     fn close_idle(&mut self, most: f64) {
         let now = self.now;
-        let idle = |front: &&mut Front| front.state == ConnectionState::Idle && now - front.since > most;
-        self.fronts.values_mut().filter(idle).for_each(|front| front.to(ConnectionState::Closing, now));
+        let idle = |client: &&mut ClientConnection| {
+            client.state == ConnectionState::Idle && now - client.since > most
+        };
+        self.clients.values_mut().filter(idle).for_each(|client| client.to(ConnectionState::Closing, now));
     }
 
     fn sweep(&mut self) {
@@ -788,13 +799,13 @@
         let now = self.now;
         self.nodes.values_mut().for_each(|node| node.pool.sweep(now, idle));
         // Clients may have as many connections as we hold, and leave some for good: those keep new ones out.
-        let pressed = 2 * self.fronts.len() > self.most_fronts;
+        let pressed = 2 * self.clients.len() > self.most_clients;
         self.close_idle(if pressed { IDLE_PRESSED } else { IDLE });
     }
 
     /// The counts, with what is open now.
     pub fn counted(&mut self) -> Counts {
-        (self.counts.open, self.counts.clients) = (self.open.len(), self.fronts.len());
+        (self.counts.open, self.counts.clients) = (self.open.len(), self.clients.len());
         self.counts.node_connections = self.backs.get();
         (self.counts.volumes, self.counts.keys) = self.core.accounts();
         self.counts.descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
