--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -56,17 +56,17 @@
 pub struct ClientConnection {
     pub state: ConnectionState,
     pub since: f64,
-    pub kick: Rc<Notify>,
+    pub close_request: Rc<Notify>,
 }
 
 impl ClientConnection {
     pub fn to(&mut self, next: ConnectionState, now: f64) {
         (self.state, self.since) = (next, now);
         if matches!(next, ConnectionState::Closing | ConnectionState::Evicted) {
-            self.kick.tell();
+            self.close_request.tell();
         } else {
             // What a request has come before is not to be closed at the next wait.
-            self.kick.forget();
+            self.close_request.forget();
         }
     }
 }
@@ -122,9 +122,9 @@
 }
 
 /// Serves one client connection until it ends.
-pub async fn serve(instance: Weakly, number: u64, kick: Rc<Notify>, stream: Rc<Async<TcpStream>>) {
+pub async fn serve(instance: Weakly, number: u64, close_request: Rc<Notify>, stream: Rc<Async<TcpStream>>) {
     let mut client =
-        Client { instance, number, kick, stream, decoder: RequestDecoder::default(), arrived: 0.0 };
+        Client { instance, number, close_request, stream, decoder: RequestDecoder::default(), arrived: 0.0 };
     let _ = client.run().await;
     if let Some(this) = client.instance.upgrade() {
         this.borrow_mut().clients.remove(&number);
@@ -134,7 +134,7 @@
 struct Client {
     instance: Weakly,
     number: u64,
-    kick: Rc<Notify>,
+    close_request: Rc<Notify>,
     stream: Rc<Async<TcpStream>>,
     decoder: RequestDecoder,
     /// When bytes came last.
@@ -145,7 +145,7 @@
 enum Went {
     More,
     End,
-    Kicked,
+    CloseRequested,
     Late,
 }
 
@@ -240,7 +240,7 @@
                     return Ok(None);
                 }
                 // Asked to make room, at a stop, or idle for too long: unless something has just come.
-                Went::Late | Went::Kicked => {
+                Went::Late | Went::CloseRequested => {
                     if !self.decoder.unfinished() {
                         if self.nothing_came()? {
                             self.end().await?;
@@ -270,7 +270,7 @@
         held
     }
 
-    /// Waits for more bytes, a kick, or the end of patience.
+    /// Waits for more bytes, a request to close, or the end of patience.
     async fn more(&mut self, until: Option<f64>) -> io::Result<Went> {
         let now = self.instance()?.borrow().clock_now();
         let decoder = &mut self.decoder;
@@ -280,9 +280,9 @@
                 Came::End => Ok(Went::End),
             }
         };
-        let kicked = async {
-            self.kick.wait().await;
-            Ok(Went::Kicked)
+        let asked = async {
+            self.close_request.wait().await;
+            Ok(Went::CloseRequested)
         };
         let late = async {
             match until {
@@ -291,7 +291,7 @@
             };
             Ok(Went::Late)
         };
-        let went: io::Result<Went> = read.or(kicked).or(late).await;
+        let went: io::Result<Went> = read.or(asked).or(late).await;
         if matches!(went, Ok(Went::More)) {
             self.arrived = self.instance()?.borrow().clock_now();
         }
@@ -376,11 +376,11 @@
             return self.stream.get_ref().shutdown(Shutdown::Write);
         }
         self.enter(ConnectionState::Lingering)?;
-        let kicked = async {
-            self.kick.wait().await;
+        let asked = async {
+            self.close_request.wait().await;
             Ok(())
         };
-        linger(&self.stream).or(kicked).await
+        linger(&self.stream).or(asked).await
     }
 }
 
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -723,13 +723,17 @@
         if self.clients.len() >= self.most_clients && (self.clients.len() >= most || !self.evict()) {
             return None;
         }
-        let (number, kick) = (self.next_client, Rc::<Notify>::default());
+        let (number, close_request) = (self.next_client, Rc::<Notify>::default());
         self.next_client += 1;
         self.clients.insert(
             number,
-            ClientConnection { state: ConnectionState::Fresh, since: self.now, kick: kick.clone() },
+            ClientConnection {
+                state: ConnectionState::Fresh,
+                since: self.now,
+                close_request: close_request.clone(),
+            },
         );
-        Some((number, kick))
+        Some((number, close_request))
     }
 
     /// Leave to tell one more client that there is no room for it.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -92,8 +92,8 @@
     loop {
         let (stream, _) = accepted(&listener).await;
         let (Some(this), Some(executor)) = (instance.upgrade(), executor.upgrade()) else { return };
-        if let Some((number, kick)) = turn(&this, Instance::opened) {
-            executor.spawn(front::serve(instance.clone(), number, kick, stream)).detach();
+        if let Some((number, close_request)) = turn(&this, Instance::opened) {
+            executor.spawn(front::serve(instance.clone(), number, close_request, stream)).detach();
         } else if let Some(refusal) = this.borrow_mut().refusal() {
             executor.spawn(front::turn_away(stream, refusal)).detach();
         }
