Graceful shutdown: the standard terms for the stop and its stages

shut_down was last_call; ShutdownStage with Draining, ClosingIdle and Terminating was Stop with Leaving, Closing and Over, in crates/platform; no other change.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -13,7 +13,7 @@
 use quaypath_http::{error, response, Request, RequestDecoder, MOST_HEAD};
 use quaypath_initiator::turns::{read_now, read_some, turn, within, Came, Notify, Turns};
 
-use crate::instance::{Permit, Shared, Stop, Weakly};
+use crate::instance::{Permit, Shared, ShutdownStage, Weakly};
 
 /// A whole request is wanted within so many seconds of the connection's opening, or of its own first byte.
 const PATIENCE: f64 = 2.5;
@@ -225,7 +225,7 @@
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
             }
             if self.decoder.unfinished() {
-                if self.instance()?.borrow().stop == Stop::Over {
+                if self.instance()?.borrow().stop == ShutdownStage::Terminating {
                     self.refuse(503, "the process ends").await?;
                     return Ok(None);
                 }
@@ -336,7 +336,7 @@
             turn(&this, |this| this.lapsed(id));
             return Ok(false);
         };
-        let stopping = this.borrow().stop > Stop::No;
+        let stopping = this.borrow().stop > ShutdownStage::No;
         drop(this);
         // At a stop the answer ends the connection, unless a further request has come behind this one.
         let ends = overrun
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -109,16 +109,16 @@
     Sweep,
 }
 
-/// How far the process's end has come, in order.
+/// How far the graceful shutdown has come, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stop {
+pub enum ShutdownStage {
     No,
     /// Answers end their connections.
-    Leaving,
+    Draining,
     /// Idle connections are closed too.
-    Closing,
+    ClosingIdle,
     /// What was open has been answered, and what comes yet is refused at once.
-    Over,
+    Terminating,
 }
 
 /// A shot, shared with the task that carries it out.
@@ -295,7 +295,7 @@
     pub heard: bool,
     /// Nodes that were told gone of late, with their start, and when.
     gone: BTreeMap<NodeId, (f64, f64)>,
-    pub stop: Stop,
+    pub stop: ShutdownStage,
     pub counts: Counts,
     executor: Weak<LocalExecutor<'static>>,
     me: Weakly,
@@ -382,7 +382,7 @@
             newest: 0,
             heard: false,
             gone: BTreeMap::new(),
-            stop: Stop::No,
+            stop: ShutdownStage::No,
             counts: Counts::default(),
             executor: Rc::downgrade(executor),
             me: Weak::new(),
@@ -474,7 +474,7 @@
     pub fn take(
         &mut self, request: Request, held: Permit, arrived: f64,
     ) -> Result<(u64, Rc<Reply>), (u16, &'static str)> {
-        if self.stop == Stop::Over {
+        if self.stop == ShutdownStage::Terminating {
             return Err((503, "the process ends"));
         }
         let asked = asked(&request, &self.config)?;
@@ -766,12 +766,12 @@
     }
 
     /// The next step of the process's end, or the same once more.
-    pub fn stop(&mut self, next: Stop) {
+    pub fn stop(&mut self, next: ShutdownStage) {
         self.stop = next;
-        if next >= Stop::Closing {
+        if next >= ShutdownStage::ClosingIdle {
             self.close_idle(f64::NEG_INFINITY);
         }
-        if next == Stop::Over {
+        if next == ShutdownStage::Terminating {
             // Nor is anything taken any more: an order to close reaches those that wait for the rest of a request.
             let waits = |client: &&mut ClientConnection| {
                 matches!(client.state, ConnectionState::Fresh | ConnectionState::Reading)
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -31,7 +31,7 @@
 pub use config::Config;
 pub use instance::Counts;
 
-use instance::{Instance, Shared, Stop, Weakly};
+use instance::{Instance, Shared, ShutdownStage, Weakly};
 
 /// Connections that the kernel holds for us until they are accepted.
 const BACKLOG: i32 = 1024;
@@ -81,7 +81,7 @@
     executor.spawn(obey(weak, signals, Rc::downgrade(&executor), term.clone())).detach();
     let done = async {
         term.wait().await;
-        last_call(&instance).await;
+        shut_down(&instance).await;
     };
     async_io::block_on(executor.run(done));
     let counts = instance.borrow_mut().counted();
@@ -158,18 +158,18 @@
 
 /// Serves on as before, then moves clients off by their answers, closes what is idle and answers what was taken, all
 /// before the kill. It listens to the end: what the kernel has accepted counts as taken.
-async fn last_call(instance: &Shared) {
+async fn shut_down(instance: &Shared) {
     let notice = instance.borrow().config.waits.longest().min(LONGEST_COUNTED) + NOTICE;
     info!(notice, "stopping");
     let began = Instant::now();
     // Deadlines may be so short that some of this is due at once.
     let before_kill = |left: f64| Timer::at(began + Duration::from_secs_f64((notice - left).max(0.0)));
     before_kill(LEAVING).await;
-    turn(instance, |this| this.stop(Stop::Leaving));
+    turn(instance, |this| this.stop(ShutdownStage::Draining));
     before_kill(CLOSING).await;
     let answered = async {
         loop {
-            turn(instance, |this| this.stop(Stop::Closing));
+            turn(instance, |this| this.stop(ShutdownStage::ClosingIdle));
             Timer::after(Duration::from_millis(5)).await;
             // What the reactor woke with us goes first: a connection that waited in the backlog among it.
             yield_now().await;
@@ -181,7 +181,7 @@
     };
     let ended = async {
         before_kill(END).await;
-        turn(instance, |this| this.stop(Stop::Over));
+        turn(instance, |this| this.stop(ShutdownStage::Terminating));
         Timer::after(Duration::from_secs_f64(LAST_WRITES)).await;
     };
     answered.or(ended).await;
