--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -67,14 +67,14 @@
 }
 
 /// Keeps the list up to date from one address, until another one has taken its place.
-pub async fn follow(instance: Weakly, address: SocketAddr, source: u64) {
+pub async fn watch_loop(instance: Weakly, address: SocketAddr, source: u64) {
     loop {
         let Some(pace) = instance.upgrade().map(|this| this.borrow().config.waits.drain_grace * GRACE_PART)
         else {
             return;
         };
         let next = Timer::after(Duration::from_secs_f64(pace.clamp(QUICKEST, PACE)));
-        let ended = session(&instance, address, source, pace.clamp(QUICKEST, PACE)).await;
+        let ended = watch_session(&instance, address, source, pace.clamp(QUICKEST, PACE)).await;
         let Some(this) = instance.upgrade() else { return };
         if !this.borrow().heeds(source) {
             return info!(%address, "this discovery address has been replaced");
@@ -187,9 +187,9 @@
 
 /// The whole list, then the watch on it until that ends or falls silent. The list first, each time: what is known is of
 /// before, or another address's word, and the changes that a watch begins with do not tell for how long they hold.
-async fn session(instance: &Weakly, address: SocketAddr, source: u64, pace: f64) -> io::Result<()> {
+async fn watch_session(instance: &Weakly, address: SocketAddr, source: u64, pace: f64) -> io::Result<()> {
     let listing = whole_list(instance, address, source, pace).await?;
-    tell(instance, source, &listing)?;
+    apply(instance, source, &listing)?;
     let path = format!("/discovery/hosts?watch=1&from={}", listing.index);
     let mut answer = call(address, &path, false, usize::MAX).await?;
     let mut objects = Objects::new(MOST);
@@ -208,7 +208,7 @@
         for part in parts {
             let objects::Part::Object(text) = part else { continue };
             let listing: Listing = serde_json::from_slice(&text).map_err(unread)?;
-            if !tell(instance, source, &listing)? {
+            if !apply(instance, source, &listing)? {
                 return Err(bad("a version of before the known one"));
             }
         }
@@ -222,7 +222,7 @@
 }
 
 /// Hands a listing on, if this address still is the one that is heard; a newer one takes over with its first list.
-fn tell(instance: &Weakly, source: u64, listing: &Listing) -> io::Result<bool> {
+fn apply(instance: &Weakly, source: u64, listing: &Listing) -> io::Result<bool> {
     let this: Shared = instance.upgrade().ok_or(io::ErrorKind::NotConnected)?;
     if !this.borrow().heeds(source) {
         return Err(bad("replaced"));
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -74,7 +74,7 @@
     let weak = Rc::downgrade(&instance);
     info!(address = %listener.get_ref().local_addr()?, %discovery, "listening");
     executor.spawn(timers(weak.clone())).detach();
-    executor.spawn(discovery::follow(weak.clone(), discovery, 0)).detach();
+    executor.spawn(discovery::watch_loop(weak.clone(), discovery, 0)).detach();
     executor.spawn(report(weak.clone())).detach();
     executor.spawn(accept(weak.clone(), Rc::downgrade(&executor), listener)).detach();
     let term = Rc::<Notify>::default();
@@ -143,7 +143,7 @@
                         info!(discovery = %config.discovery, "configuration read anew");
                         // The address of before is heard until this one has told its whole list.
                         executor
-                            .spawn(discovery::follow(instance.clone(), config.discovery, source))
+                            .spawn(discovery::watch_loop(instance.clone(), config.discovery, source))
                             .detach();
                     }
                     Err(error) => warn!(%error, "the configuration cannot be read; the one of before stays"),
