--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -24,9 +24,8 @@
 /// misses counts as told 6 s after it fell silent.
 const SILENT: f64 = 2.6;
 /// While the list is not had, a further call begins every so many seconds, whether those before hang, were refused or
-/// failed. What discovery learns while it is down
-/// counts at once when it is back, and a node that drains then is kept within the settings' grace: a part of that is the
-/// pace, within these bounds. The agent answers at once and at no cost.
+/// failed. What discovery learns while it is down counts at once when it is back, and a node that drains then is kept
+/// within the settings' grace: a part of that is the pace, within these bounds. The agent answers at once and at no cost.
 const PACE: f64 = 0.2;
 const QUICKEST: f64 = 0.05;
 const GRACE_PART: f64 = 0.25;
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -765,9 +765,9 @@
         true
     }
 
-    /// The next step of the process's end, or the same once more.
+    /// The next step of the process's end, or the same once more; it never goes back.
     pub fn stop(&mut self, next: ShutdownStage) {
-        self.stop = next;
+        self.stop = self.stop.max(next);
         if next >= ShutdownStage::ClosingIdle {
             self.close_idle(f64::NEG_INFINITY);
         }
--- a/crates/programs/tests/crossings.rs
+++ b/crates/programs/tests/crossings.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use rig::{
-    answer, exchange, id_of, listing, message, opening, put, resets, settles, silent, until, Calls,
+    answer, exchange, id_of, listing, message, opening, put, resets, settles, silent, slow, until, Calls,
     Discovery, Gateway, Hand, Node,
 };
 use rustix::process::{prlimit, Pid, Resource, Rlimit, Signal};
@@ -286,6 +286,54 @@
     assert!(node.seen.lock().expect("no panic").iter().all(|head| id_of(head) != "half"));
 }
 
+/// Guards against requests taken in the last moment and cut off by the end: they come one behind the other while the last
+/// answers are written, and the node is too slow for any of them.
+#[test]
+fn what_comes_in_the_last_moment_is_refused_and_never_sent_on() {
+    let node = Node::start(slow);
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let mut gateway = Gateway::start(&list, discovery.address, |config| {
+        for at in 0..2 {
+            config["settings"]["Grades"][at]["Deadline"] = json!(0.5);
+        }
+    });
+    // Keeps it open to the end.
+    let mut half = gateway.connect();
+    let began = Instant::now();
+    gateway.signal(Signal::TERM);
+    // The kill comes 1.2 s after the signal, and the last step 0.12 s before that.
+    thread::sleep(Duration::from_millis(1000));
+    half.write_all(b"PUT ").expect("sent");
+    let mut asked = Vec::new();
+    while gateway.child.try_wait().expect("a child").is_none() {
+        assert!(began.elapsed() < Duration::from_secs(3), "it ends");
+        if let Ok(mut client) = TcpStream::connect(gateway.address) {
+            let id = format!("last{}", asked.len());
+            if client.write_all(put("buy", &id, "500m").as_bytes()).is_ok() {
+                asked.push((id, client));
+            }
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    let (mut refused, mut unanswered, mut lost) = (0, 0, Vec::new());
+    for (id, mut client) in asked {
+        let _ = client.set_read_timeout(Some(Duration::from_secs(1)));
+        let status = exchange(&mut client, "").0;
+        let sent = node.seen.lock().expect("no panic").iter().any(|head| id_of(head) == id);
+        refused += usize::from(status == 503);
+        unanswered += usize::from(status == 0);
+        if status == 0 && sent {
+            lost.push(id);
+        }
+    }
+    assert!(refused > 0, "none came in the last moment");
+    assert!(lost.is_empty(), "sent on and never answered: {lost:?}");
+    // But for those that the very end meets in the backlog.
+    assert!(4 * unanswered <= refused, "{unanswered} without an answer, {refused} refused");
+    drop(half);
+}
+
 /// Guards against an end while new connections still come: with deadlines shorter than the steps of the stop.
 #[test]
 fn new_connections_are_served_for_their_time_after_sigterm() {
