--- a/crates/programs/tests/crossings.rs
+++ b/crates/programs/tests/crossings.rs
@@ -31,6 +31,15 @@
     assert_eq!(gateway.ask("lookup", id).0, 200, "the usual clients are served");
 }
 
+/// Asks until a request has gone to the node that a change put into service.
+fn obeyed(gateway: &Gateway, other: &Node) {
+    let mut number = 0;
+    until("the change is obeyed", || {
+        number += 1;
+        gateway.ask("lookup", &format!("id{number}")).0 == 200 && other.requests() > 0
+    });
+}
+
 /// The first request that comes on a new connection; some may come up and be called off before their first byte.
 fn first_request(node: &Hand) -> String {
     loop {
@@ -251,11 +260,7 @@
     let back = Instant::now();
     let changed = listing(42, &[("s-1", one.address, "terminating"), ("s-2", other.address, "in_service")]);
     let watch = calls.tells(&changed);
-    let mut number = 0;
-    until("the change is obeyed", || {
-        number += 1;
-        gateway.ask("lookup", &format!("id{number}")).0 == 200 && other.requests() > 0
-    });
+    obeyed(&gateway, &other);
     assert!(back.elapsed() < TOLD, "{:?}", back.elapsed());
     drop((watch, hanging));
     assert!(!gateway.logged("cannot accept"), "out of descriptors");
@@ -468,11 +473,7 @@
     // The first new call hangs, and so does the second.
     let hanging = [calls.next(), calls.next()];
     let told = calls.tells(&changed);
-    let mut number = 0;
-    until("the change is obeyed", || {
-        number += 1;
-        gateway.ask("lookup", &format!("id{number}")).0 == 200 && other.requests() > 0
-    });
+    obeyed(&gateway, &other);
     assert!(silent_since.elapsed() < TOLD, "{:?}", silent_since.elapsed());
     drop((hanging, told));
 }
@@ -496,11 +497,7 @@
     down.push(calls.next());
     let changed = listing(43, &[("s-1", one.address, "terminating"), ("s-2", other.address, "in_service")]);
     let watch = calls.tells(&changed);
-    let mut number = 0;
-    until("the change is obeyed", || {
-        number += 1;
-        gateway.ask("lookup", &format!("id{number}")).0 == 200 && other.requests() > 0
-    });
+    obeyed(&gateway, &other);
     assert!(back.elapsed() < TOLD, "{:?}", back.elapsed());
     drop((watch, down));
 }
@@ -563,11 +560,7 @@
     text.as_bytes()
         .chunks(7)
         .for_each(|piece| assert!(watch.piece(std::str::from_utf8(piece).expect("ASCII"))));
-    let mut number = 0;
-    until("the change is obeyed", || {
-        number += 1;
-        gateway.ask("lookup", &format!("id{number}")).0 == 200 && other.requests() > 0
-    });
+    obeyed(&gateway, &other);
     assert!(calls.waiting().is_none(), "the watch stands");
 }
 
@@ -583,11 +576,7 @@
     let mut changed = listing(43, &[("s-1", one.address, status), ("s-2", other.address, "in_service")]);
     changed["snapshot"] = json!(false);
     watch.piece(&format!("{changed}\n"));
-    let mut number = 0;
-    until("the change is obeyed", || {
-        number += 1;
-        gateway.ask("lookup", &format!("id{number}")).0 == 200 && other.requests() > 0
-    });
+    obeyed(&gateway, &other);
     let sent = one.requests();
     // A line that cannot be read, so that the whole list is asked for: it is of before.
     watch.piece("{}\n");
