A cold node's likely users are not under those that one of its volumes comes through

Suspect: the sum over all initiators of what they send to a cold node.

Lines at fault: users() in src/brain.rs, which tells the users by symmetry from the nodes asked for alone, though each transaction tells through how many initiators its volume comes.

Change: not under the most initiators that a volume asked for there comes through.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -144,7 +144,7 @@
             }
             if !ours || self.posts[block].started != *started {
                 let before = self.posts.remove(block).unwrap_or_default();
-                let Post { lines, again, out, usual_at, .. } = before;
+                let Post { lines, again, out, hosts, usual_at, .. } = before;
                 // A replacement that is listed as smaller bears as much less.
                 let smaller = *size > 0.0 && before.size > 0.0;
                 let usual = before.usual * if smaller { (size / before.size).min(1.0) } else { 1.0 };
@@ -154,7 +154,7 @@
                 let known = started > 0.0 && self.set.overload_for > 0.0;
                 let warm_at = if known { started + self.set.cold_for + self.set.overload_for } else { 0.0 };
                 let fresh = Post { warm_at, usual, usual_at, ..self.fresh_post() };
-                let post = Post { node, started, lines, again, out, ..fresh };
+                let post = Post { node, started, lines, again, out, hosts, ..fresh };
                 self.posts.insert(*block, post);
             }
             let post = self.post(*block);
@@ -193,6 +193,8 @@
         let (late, movable) = (due <= now, block.is_none());
         let block = block.unwrap_or_else(|| self.place(now, units));
         *self.asked.entry(block).or_default() += 1.0;
+        let post = self.post(block);
+        post.hosts = post.hosts.max(initiators);
         let estimate = units * self.unit_time;
         // Given up while the stay at the node, as its last answers were, would still fit.
         let sojourn = estimate * self.post(block).delays.mean(now, 1.0);
@@ -762,13 +764,14 @@
     }
 
     /// How many initiators send to one node, at most: by symmetry as large a part of them as of the nodes is
-    /// asked for here. What was not asked for yet is told by what was asked for once alone (Good and Turing).
-    fn users(&self) -> f64 {
+    /// asked for here. What was not asked for yet is told by what was asked for once alone (Good and Turing). And
+    /// not under those that one volume there comes through, however few nodes each of them is asked for.
+    fn users(&self, block: BlockId) -> f64 {
         let asked = || self.asked.values().filter(|asked| **asked >= 1.0);
         let (all, once) = (asked().sum::<f64>(), asked().filter(|asked| **asked < 2.0).sum::<f64>());
         let nodes = (all - once) / all.max(1.0) * self.posts.len() as f64;
         let mean = (asked().count() as f64).max(1.0) / nodes.max(1e-9) * self.set.initiators;
-        (mean + CROWDED * mean.sqrt()).min(self.set.initiators)
+        (mean + CROWDED * mean.sqrt()).max(self.posts[&block].hosts).min(self.set.initiators)
     }
 
     /// Whether a cold node bears this in the rule's window: an even part of what it bears when just up, or if
@@ -777,7 +780,7 @@
     fn young_bears(&mut self, now: f64, block: BlockId, units: f64) -> bool {
         let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
         let (mean, window) = (self.set.mean_units, self.set.overload_for);
-        let bears = self.set.young_units.max(mean) / self.users();
+        let bears = self.set.young_units.max(mean) / self.users(block);
         let phase = self.chance.generate::<f64>();
         let post = self.posts.get_mut(&block).unwrap();
         let age = (now - post.started - window).clamp(0.0, warm);
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,8 @@
     pub warm_at: f64,
     /// By the list, against other nodes.
     pub size: f64,
+    /// Most initiators that a volume asked for there comes through.
+    pub hosts: f64,
     pub out: f64,
     pub bound: f64,
     pub misses: i32,
