--- a/crates/platform/src/back.rs
+++ b/crates/platform/src/back.rs
@@ -156,7 +156,7 @@
         if let Some(back) = node.pool.get(now, longest, &mut this.counts.stale) {
             return Some(back);
         }
-        let life = (node.address, node.started());
+        let life = node.life();
         if this.backs.get() >= this.most_backs && !make_room(&mut this.nodes) {
             return None;
         }
@@ -209,7 +209,8 @@
     let bytes = {
         let Some(this) = instance.upgrade() else { return Ended::Lost };
         // The node may have been listed as draining, gone, moved or started anew while its connection came up.
-        let (now, shut, life) = turn(&this, |this| (this.now, this.shut(&shot.node), this.life(&shot.node)));
+        let (now, shut, life) =
+            turn(&this, |this| (this.now, this.shut(&shot.node), this.nodes.get(&shot.node).map(Node::life)));
         if shut || life != Some(back.life) {
             return Ended::Lost;
         }
@@ -286,7 +287,7 @@
         let shut = this.shut(&shot.node);
         // A node that moved or was started anew meanwhile has no use for it, nor one that drains.
         let node = this.nodes.get_mut(&shot.node).filter(|node| !shut && !node.drains());
-        let known = node.zip(back).filter(|(node, back)| back.life == (node.address, node.started()));
+        let known = node.zip(back).filter(|(node, back)| back.life == node.life());
         if let Some((node, back)) = known {
             node.pool.put(now, back);
         }
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -68,12 +68,10 @@
 /// Keeps the list up to date from one address, until another one has taken its place.
 pub async fn watch_loop(instance: Weakly, address: SocketAddr, source: u64) {
     loop {
-        let Some(pace) = instance.upgrade().map(|this| this.borrow().config.waits.drain_grace * GRACE_PART)
-        else {
-            return;
-        };
-        let next = Timer::after(Duration::from_secs_f64(pace.clamp(QUICKEST, PACE)));
-        let ended = watch_session(&instance, address, source, pace.clamp(QUICKEST, PACE)).await;
+        let grace = instance.upgrade().map(|this| this.borrow().config.waits.drain_grace);
+        let Some(pace) = grace.map(|grace| (grace * GRACE_PART).clamp(QUICKEST, PACE)) else { return };
+        let next = Timer::after(Duration::from_secs_f64(pace));
+        let ended = watch_session(&instance, address, source, pace).await;
         let Some(this) = instance.upgrade() else { return };
         if !this.borrow().heeds(source) {
             return info!(%address, "this discovery address has been replaced");
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -240,7 +240,7 @@
 }
 
 pub struct Node {
-    pub address: SocketAddr,
+    address: SocketAddr,
     pub pool: Pool,
     /// Since when we know that it drains.
     shut_since: Option<f64>,
@@ -248,8 +248,9 @@
 }
 
 impl Node {
-    pub fn started(&self) -> f64 {
-        self.started
+    /// Where it is, and since when: a connection leads to one that was started there then, and to no other.
+    pub fn life(&self) -> (SocketAddr, f64) {
+        (self.address, self.started)
     }
 
     pub fn drains(&self) -> bool {
@@ -602,11 +603,6 @@
         shots.filter(|shot| shot.node == *node).count()
     }
 
-    /// Where a node is, and since when: a connection leads to one that was started there then, and to no other.
-    pub fn life(&self, node: &NodeId) -> Option<(SocketAddr, f64)> {
-        self.nodes.get(node).map(|node| (node.address, node.started))
-    }
-
     /// Whether nothing may leave for a node any more: it has drained for as long as the rule allows, with room
     /// for what the kernel takes.
     pub fn shut(&self, node: &NodeId) -> bool {
@@ -657,9 +653,7 @@
             }
             let drains = self.nodes.get(&name).filter(|node| node.started >= started);
             let condition = match endpoint.status {
-                Status::InService if older && drains.is_some_and(|node| node.shut_since.is_some()) => {
-                    Condition::Draining
-                }
+                Status::InService if older && drains.is_some_and(Node::drains) => Condition::Draining,
                 Status::InService => Condition::Ready,
                 Status::Terminating => Condition::Draining,
                 Status::Terminated => Condition::Gone,
@@ -670,7 +664,7 @@
                     self.gone.remove(&name);
                     let fresh = || Node { address, pool: Pool::default(), shut_since: None, started };
                     let node = self.nodes.entry(name.clone()).or_insert_with(fresh);
-                    if (node.address, node.started) != (address, started) {
+                    if node.life() != (address, started) {
                         // Moved or started anew: what stands idle leads to what was there before.
                         node.pool.clear();
                         (node.address, node.started) = (address, started);
