--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,7 +37,7 @@
 const LOSSY: f64 = 0.1;
 const STAYS: f64 = 4.0;
 /// Part of a cold node's budget that is claimed by what the node before settled; the rest is for chance.
-const YOUNG_PART: f64 = 0.85;
+const EARLIER_PART: f64 = 0.85;
 const CROWDED: f64 = 3.0; // standard deviations by which a node may have more initiators than the mean node
 /// Part of the grace in which a draining node is still sent to; the rest is for news long on its way.
 const GRACE_PART: f64 = 0.6;
@@ -144,16 +144,17 @@
             }
             if !ours || self.posts[block].started != *started {
                 let before = self.posts.remove(block).unwrap_or_default();
-                let Post { lines, again, out, hosts, usual_at, .. } = before;
+                let Post { lines, again, out, hosts, earlier_rate_at, .. } = before;
                 // A replacement that is listed as smaller bears as much less.
                 let smaller = *size > 0.0 && before.size > 0.0;
-                let usual = before.usual * if smaller { (size / before.size).min(1.0) } else { 1.0 };
+                let earlier_rate =
+                    before.earlier_rate * if smaller { (size / before.size).min(1.0) } else { 1.0 };
                 let (node, started, out) = (Some(node.clone()), *started, if ours { out } else { 0.0 });
                 let elsewhere = self.transactions.values_mut().filter(|t| !ours && t.block == *block);
                 elsewhere.for_each(|t| t.late_at = f64::INFINITY); // holds no credit here
                 let known = started > 0.0 && self.set.overload_for > 0.0;
                 let warm_at = if known { started + self.set.cold_for + self.set.overload_for } else { 0.0 };
-                let fresh = Post { warm_at, usual, usual_at, ..self.fresh_post() };
+                let fresh = Post { warm_at, earlier_rate, earlier_rate_at, ..self.fresh_post() };
                 let post = Post { node, started, lines, again, out, hosts, ..fresh };
                 self.posts.insert(*block, post);
             }
@@ -568,7 +569,7 @@
         post.silent_since = if post.out == 0.0 { now } else { post.silent_since };
         post.out += 1.0;
         let likely = estimate * post.delays.mean(now, 1.0);
-        post.young.add(now, t.units, 1.0);
+        post.slow_start_sent.add(now, t.units, 1.0);
         post.saved = post.saved.map(|(saved, at)| (saved - t.units, at));
         t.shots += 1;
         let name = t.volume.clone();
@@ -614,8 +615,8 @@
                 if !cold {
                     post.settled.add(now, units, 1.0);
                     // Over the whole span, however little of it was seen: a burst is no rate, leads move.
-                    post.usual = post.settled.sum(now) / LONG;
-                    post.usual_at = now;
+                    post.earlier_rate = post.settled.sum(now) / LONG;
+                    post.earlier_rate_at = now;
                 }
                 post.gaps.add(now, gap, estimate);
                 post.delays.add(now, delay, estimate);
@@ -651,13 +652,16 @@
         let mut best = (f64::NEG_INFINITY, BlockId(0));
         for block in self.posts.keys().copied().collect::<Vec<_>>() {
             let stay = self.stay(now, block);
-            let young =
-                if self.cold(now, block) && !self.young_bears(now, block, units) { MOST_OUT } else { 0.0 };
+            let slow_start = if self.cold(now, block) && !self.slow_start_admits(now, block, units) {
+                MOST_OUT
+            } else {
+                0.0
+            };
             let post = &self.posts[&block];
             let shut = if post.until == f64::INFINITY && now >= post.next_try { 0.0 } else { 1e6 };
             // Among equals each gets its part by size.
             let race = (-self.chance.generate::<f64>().max(1e-9).ln() / post.size).min(20.0) / 40.0;
-            let credit = post.bound.floor() - post.out - post.held() - shut - young - stay - race;
+            let credit = post.bound.floor() - post.out - post.held() - shut - slow_start - stay - race;
             best = if credit > best.0 { (credit, block) } else { best };
         }
         self.post(best.1);
@@ -753,7 +757,7 @@
         if limit > 0.0 && first && volume.limit.level < units {
             return now + (units - volume.limit.level) * volume.initiators / limit;
         }
-        if self.cold(now, block) && !self.young_bears(now, block, units) {
+        if self.cold(now, block) && !self.slow_start_admits(now, block, units) {
             return now + 0.05;
         }
         now
@@ -764,8 +768,8 @@
     }
 
     /// How many initiators send to one node, at most: by symmetry as large a part of them as of the nodes is
-    /// asked for here. What was not asked for yet is told by what was asked for once alone (Good and Turing). And
-    /// not under those that one volume there comes through, however few nodes each of them is asked for.
+    /// asked for here. What was not asked for yet is told by what was asked for once alone (Good and Turing).
+    /// And no fewer than one volume there comes through, however few nodes each of them is asked for.
     fn users(&self, block: BlockId) -> f64 {
         let asked = || self.asked.values().filter(|asked| **asked >= 1.0);
         let (all, once) = (asked().sum::<f64>(), asked().filter(|asked| **asked < 2.0).sum::<f64>());
@@ -777,7 +781,7 @@
     /// Whether a cold node bears this in the rule's window: an even part of what it bears when just up, or if
     /// more a part of what the node before settled for this initiator, grown as the slowest node warms. Less
     /// than a mean transaction is saved up until it is one, from a start by chance: initiators spread.
-    fn young_bears(&mut self, now: f64, block: BlockId, units: f64) -> bool {
+    fn slow_start_admits(&mut self, now: f64, block: BlockId, units: f64) -> bool {
         let (first, warm) = (self.set.start_capacity.clamp(0.01, 1.0), self.set.cold_for.max(0.01));
         let (mean, window) = (self.set.mean_units, self.set.overload_for);
         let bears = self.set.young_units.max(mean) / self.users(block);
@@ -786,14 +790,14 @@
         let age = (now - post.started - window).clamp(0.0, warm);
         let warmth = first + (1.0 - first) * age / warm;
         // Others may have taken over work that this initiator had long before the start.
-        let old = 2.0 * LONG / (post.started - post.usual_at).max(2.0 * LONG);
-        let usual = YOUNG_PART * self.set.fall_multiple * post.usual * old * window;
-        let part = (bears / first).max(usual) * warmth;
+        let old = 2.0 * LONG / (post.started - post.earlier_rate_at).max(2.0 * LONG);
+        let earlier = EARLIER_PART * self.set.fall_multiple * post.earlier_rate * old * window;
+        let part = (bears / first).max(earlier) * warmth;
         let (saved, at) = post.saved.unwrap_or((phase * mean, now));
         let saved = (saved + part * (now - at) / window).min(units.max(mean));
         post.saved = Some((saved, now));
         now >= self.started + window
-            && (part - post.young.sum(now) >= units || (part < mean && saved >= units.max(mean)))
+            && (part - post.slow_start_sent.sum(now) >= units || (part < mean && saved >= units.max(mean)))
     }
 
     fn spread(&mut self) -> f64 {
@@ -805,7 +809,7 @@
             // The design's bound is one host's at a disk of its own; here all initiators share the node.
             bound: (MOST_OUT / self.set.initiators).max(1.0),
             strain: Ring::new(0.1, 5),
-            young: Ring::new(self.set.overload_for.max(0.1) / 8.0, 9),
+            slow_start_sent: Ring::new(self.set.overload_for.max(0.1) / 8.0, 9),
             settled: Ring::new(LONG / 8.0, 8),
             ..Post::default()
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,13 +78,13 @@
     /// Shots that timed out, of all that ended.
     pub lost: Ring,
     /// Units sent to it over the window of the rule on cold nodes.
-    pub young: Ring,
+    pub slow_start_sent: Ring,
     /// Units saved up for it while it is cold, and up to when.
     pub saved: Option<(f64, f64)>,
     /// Units that it settled while warm, and how many a second that was up to its last answer then.
     pub settled: Ring,
-    pub usual: f64,
-    pub usual_at: f64,
+    pub earlier_rate: f64,
+    pub earlier_rate_at: f64,
 }
 
 impl Post {
