--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -21,7 +21,6 @@
 use quaypath_record::Clock;
 use tracing::{debug, info, warn};
 
-use crate::back::{self, Pool};
 use crate::config::Config;
 use crate::decode::{asked, onward, Told};
 use crate::discovery::{Listing, Status};
@@ -29,6 +28,7 @@
 use crate::idle_reuse::IdleReuse;
 use crate::ids::{ReplayWindow, Seen};
 use crate::outcome::{outcome, Ended};
+use crate::upstream::{self, Pool};
 
 /// How late a timer may ring before it counts as a stall, seconds.
 const STALL: f64 = 0.06;
@@ -281,8 +281,8 @@
     started: f64,
     pub nodes: BTreeMap<NodeId, Node>,
     /// Connections to nodes, idle ones included.
-    pub backs: Rc<Cell<usize>>,
-    pub most_backs: usize,
+    pub upstream_connections: Rc<Cell<usize>>,
+    pub most_upstream_connections: usize,
     pub idle_reuse: IdleReuse,
     /// For bodies of requests, and for those of answers.
     requests: MemoryBudget,
@@ -373,8 +373,8 @@
             most_refusals: share(REFUSALS).max(FEWEST_REFUSALS),
             started: now,
             nodes: BTreeMap::new(),
-            backs: Rc::default(),
-            most_backs: share(NODES).max(8),
+            upstream_connections: Rc::default(),
+            most_upstream_connections: share(NODES).max(8),
             idle_reuse: IdleReuse::default(),
             requests: MemoryBudget::new((memory * BODIES) as usize),
             answers: MemoryBudget::new((memory * BODIES) as usize),
@@ -578,7 +578,7 @@
         self.timers.set(stop_at, Timer::Stop(id, shot.number));
         let message = open.message.clone();
         if let Some(executor) = self.executor.upgrade() {
-            executor.spawn(back::shoot(self.me.clone(), shot, message)).detach();
+            executor.spawn(upstream::shoot(self.me.clone(), shot, message)).detach();
         }
     }
 
@@ -804,7 +804,7 @@
     /// The counts, with what is open now.
     pub fn counted(&mut self) -> Counts {
         (self.counts.open, self.counts.clients) = (self.open.len(), self.clients.len());
-        self.counts.node_connections = self.backs.get();
+        self.counts.node_connections = self.upstream_connections.get();
         (self.counts.volumes, self.counts.keys) = self.core.accounts();
         self.counts.descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
         let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,7 +3,6 @@
 //! [`run`] is one initiator on one thread. What happens on the sockets becomes a call of the core in `instance`,
 //! through the one table of [`outcome`]; what the core asks for is carried out there too. Nothing is decided here.
 
-mod back;
 pub mod config;
 pub mod decode;
 mod discovery;
@@ -13,6 +12,7 @@
 mod instance;
 pub mod objects;
 pub mod outcome;
+mod upstream;
 
 use std::io;
 use std::net::TcpListener;
--- a/crates/platform/src/back.rs
+++ b/crates/platform/src/upstream.rs
@@ -25,7 +25,7 @@
 const IDLE_PART: f64 = 0.8;
 
 /// A connection to a node, counted while it is kept.
-pub struct Back {
+pub struct UpstreamConnection {
     stream: Async<TcpStream>,
     all: Rc<Cell<usize>>,
     /// The node's address and start when it was opened.
@@ -34,10 +34,10 @@
     rest: Option<f64>,
 }
 
-impl Back {
+impl UpstreamConnection {
     fn new(stream: Async<TcpStream>, life: (SocketAddr, f64), all: Rc<Cell<usize>>) -> Self {
         all.set(all.get() + 1);
-        Back { stream, life, all, rest: None }
+        UpstreamConnection { stream, life, all, rest: None }
     }
 
     /// Whether it stands and holds nothing to be read.
@@ -48,7 +48,7 @@
     }
 }
 
-impl Drop for Back {
+impl Drop for UpstreamConnection {
     fn drop(&mut self) {
         self.all.set(self.all.get() - 1);
     }
@@ -56,7 +56,7 @@
 
 /// Idle connections to one node, the latest used last.
 #[derive(Default)]
-pub struct Pool(Vec<(f64, Back)>);
+pub struct Pool(Vec<(f64, UpstreamConnection)>);
 
 impl Pool {
     pub fn clear(&mut self) {
@@ -67,13 +67,13 @@
         self.0.len()
     }
 
-    fn put(&mut self, now: f64, back: Back) {
-        self.0.push((now, back));
+    fn put(&mut self, now: f64, upstream: UpstreamConnection) {
+        self.0.push((now, upstream));
     }
 
     /// The latest used that has rested, for no longer than goes well, and is clean; those that are not are closed,
     /// and counted.
-    fn get(&mut self, now: f64, longest: f64, stale: &mut u64) -> Option<Back> {
+    fn get(&mut self, now: f64, longest: f64, stale: &mut u64) -> Option<UpstreamConnection> {
         let mut at = self.0.len();
         while at > 0 {
             at -= 1;
@@ -81,10 +81,10 @@
             if rest < REST {
                 continue;
             }
-            let (_, mut back) = self.0.remove(at);
-            back.rest = Some(rest);
-            if rest < longest && back.clean() {
-                return Some(back);
+            let (_, mut upstream) = self.0.remove(at);
+            upstream.rest = Some(rest);
+            if rest < longest && upstream.clean() {
+                return Some(upstream);
             }
             *stale += 1;
         }
@@ -93,7 +93,7 @@
 
     /// Closes what the node would close soon, and what it has closed.
     pub fn sweep(&mut self, now: f64, idle: f64) {
-        self.0.retain(|(since, back)| now - since < IDLE_PART * idle && back.clean());
+        self.0.retain(|(since, upstream)| now - since < IDLE_PART * idle && upstream.clean());
     }
 
     fn oldest(&self) -> Option<f64> {
@@ -145,7 +145,7 @@
 }
 
 /// A connection for a shot: one of the pool, or a fresh one within the connect time-out.
-async fn connection(instance: &Weakly, shot: &Shot) -> Option<Back> {
+async fn connection(instance: &Weakly, shot: &Shot) -> Option<UpstreamConnection> {
     let (fresh, wait, life, all) = {
         let this = instance.upgrade()?;
         let mut this = this.borrow_mut();
@@ -153,15 +153,20 @@
         let now = this.clock_now();
         let longest = this.idle_reuse.longest(now);
         let node = this.nodes.get_mut(&shot.node)?;
-        if let Some(back) = node.pool.get(now, longest, &mut this.counts.stale) {
-            return Some(back);
+        if let Some(upstream) = node.pool.get(now, longest, &mut this.counts.stale) {
+            return Some(upstream);
         }
         let life = node.life();
-        if this.backs.get() >= this.most_backs && !make_room(&mut this.nodes) {
+        if this.upstream_connections.get() >= this.most_upstream_connections && !make_room(&mut this.nodes) {
             return None;
         }
         this.counts.connects += 1;
-        (Async::<TcpStream>::connect(life.0), this.config.waits.connect, life, this.backs.clone())
+        (
+            Async::<TcpStream>::connect(life.0),
+            this.config.waits.connect,
+            life,
+            this.upstream_connections.clone(),
+        )
     };
     let stream = within(wait, fresh).await;
     let this = instance.upgrade()?;
@@ -169,7 +174,7 @@
     match stream {
         Ok(stream) => {
             let _ = stream.get_ref().set_nodelay(true);
-            Some(Back::new(stream, life, all))
+            Some(UpstreamConnection::new(stream, life, all))
         }
         Err(error) => {
             this.counts.connects_failed += 1;
@@ -180,10 +185,10 @@
 }
 
 /// Writes the request, in one piece where the kernel takes it.
-async fn write(back: &Back, shot: &Shot, bytes: &[u8]) -> io::Result<()> {
+async fn write(upstream: &UpstreamConnection, shot: &Shot, bytes: &[u8]) -> io::Result<()> {
     let mut sent = 0;
     while sent < bytes.len() {
-        match back.stream.get_ref().write(&bytes[sent..]) {
+        match upstream.stream.get_ref().write(&bytes[sent..]) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(count) => {
                 sent += count;
@@ -191,7 +196,7 @@
                     shot.to(Progress::Leaving);
                 }
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => back.stream.writable().await?,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => upstream.stream.writable().await?,
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(error) => return Err(error),
         }
@@ -202,23 +207,24 @@
 
 /// Carries a shot to its end, whatever that is.
 async fn fly(
-    instance: &Weakly, shot: &Shot, message: &Message, used: &mut Option<Back>, incoming: &mut Incoming,
+    instance: &Weakly, shot: &Shot, message: &Message, used: &mut Option<UpstreamConnection>,
+    incoming: &mut Incoming,
 ) -> Ended {
-    let Some(back) = connection(instance, shot).await else { return Ended::Lost };
-    let back = used.insert(back);
+    let Some(upstream) = connection(instance, shot).await else { return Ended::Lost };
+    let upstream = used.insert(upstream);
     let bytes = {
         let Some(this) = instance.upgrade() else { return Ended::Lost };
         // The node may have been listed as draining, gone, moved or started anew while its connection came up.
         let (now, shut, life) =
             turn(&this, |this| (this.now, this.shut(&shot.node), this.nodes.get(&shot.node).map(Node::life)));
-        if shut || life != Some(back.life) {
+        if shut || life != Some(upstream.life) {
             return Ended::Lost;
         }
         shot.to(Progress::Queued);
         decode::shot(&message.head, &message.body, shot.stop_at - now)
     };
     let writing = async {
-        match write(back, shot, &bytes).await {
+        match write(upstream, shot, &bytes).await {
             Ok(()) => pending().await,
             Err(_) => Ended::Lost,
         }
@@ -226,7 +232,7 @@
     // An answer may come before the request's last byte: it ends the shot all the same.
     let reading = async {
         loop {
-            match read_some(&back.stream, READ, |bytes| incoming.take(bytes)).await {
+            match read_some(&upstream.stream, READ, |bytes| incoming.take(bytes)).await {
                 Ok(Came::Bytes(Ok(false))) => {}
                 Ok(Came::Bytes(Ok(true))) => return answered(incoming),
                 Ok(Came::Bytes(Err(_))) => return Ended::Spoilt,
@@ -246,9 +252,9 @@
 }
 
 /// What has come and was not read yet when the time was up: a standstill of ours is not the node's.
-fn last_look(back: &Back, incoming: &mut Incoming) -> Option<Ended> {
+fn last_look(upstream: &UpstreamConnection, incoming: &mut Incoming) -> Option<Ended> {
     loop {
-        match read_now(back.stream.get_ref(), READ, |bytes| incoming.take(bytes)) {
+        match read_now(upstream.stream.get_ref(), READ, |bytes| incoming.take(bytes)) {
             Ok(Some(Came::Bytes(Ok(false)))) => {}
             Ok(Some(Came::Bytes(Ok(true)))) => return Some(answered(incoming)),
             Ok(Some(Came::End)) if incoming.finish() => return Some(answered(incoming)),
@@ -266,15 +272,15 @@
     // What ends it from this side goes first: nothing is begun for a client that has gone by now.
     let mut ended = shot.ended().or(fly(&instance, &shot, &message, &mut used, &mut incoming)).await;
     if ended == Ended::TimeUp && shot.progress() == Progress::Out {
-        let looked = used.as_ref().and_then(|back| last_look(back, &mut incoming));
+        let looked = used.as_ref().and_then(|upstream| last_look(upstream, &mut incoming));
         ended = looked.unwrap_or(ended);
     }
     let Some(this) = instance.upgrade() else { return };
-    let rested = used.as_ref().and_then(|back| back.rest);
+    let rested = used.as_ref().and_then(|upstream| upstream.rest);
     let lost = ended == Ended::Lost && incoming.head.is_none();
     // Closed, or back in the pool, before the core may send again.
     let whole = matches!(ended, Ended::Answered(..)) && shot.progress() == Progress::Out;
-    let back = used.take().filter(|_| whole && incoming.reusable());
+    let upstream = used.take().filter(|_| whole && incoming.reusable());
     let (told, answer) = match incoming.head.take().filter(|_| incoming.whole) {
         Some(head) => {
             let told = decode::told(&head.headers, &this.borrow().config.waits.load);
@@ -289,9 +295,9 @@
         let shut = this.shut(&shot.node);
         // A node that moved or was started anew meanwhile has no use for it, nor one that drains.
         let node = this.nodes.get_mut(&shot.node).filter(|node| !shut && !node.drains());
-        let known = node.zip(back).filter(|(node, back)| back.life == node.life());
-        if let Some((node, back)) = known {
-            node.pool.put(now, back);
+        let known = node.zip(upstream).filter(|(node, upstream)| upstream.life == node.life());
+        if let Some((node, upstream)) = known {
+            node.pool.put(now, upstream);
         }
         this.returned(&shot, ended, told, answer);
     });
