Answers that cross their client's end, half lines, replaced nodes and last requests are forced

Four more crossings on real sockets, six cases: a whole answer together with its client's end, half a line together with the next request on a resting connection, a node replaced under its old address, a request behind one that closes.

--- a/crates/programs/tests/crossings.rs
+++ b/crates/programs/tests/crossings.rs
@@ -426,6 +426,116 @@
     assert_eq!(after.requests(), known + 1);
 }
 
+/// Guards against an answer that goes to the next client: a whole one and its client's end lie in the kernel together, in
+/// both orders, and the connection may be used again.
+#[test_case(true; "the answer first")]
+#[test_case(false; "its client's end first")]
+fn an_answer_together_with_its_clients_end_is_nobody_elses(answer_first: bool) {
+    let node = Hand::start();
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let gateway = Gateway::start(&list, discovery.address, |_| {});
+    let mut client = gateway.connect();
+    client.write_all(put("buy", "gone", "2500m").as_bytes()).expect("sent");
+    let mut back = node.accept();
+    let (head, _) = message(&mut back).expect("a request");
+    let mut left = Some(client);
+    gateway.while_stopped(|| {
+        if !answer_first {
+            drop(left.take());
+        }
+        assert!(settles(0, &mut back, &head));
+        drop(left.take());
+    });
+    let mut next = gateway.connect();
+    next.write_all(put("buy", "next", "2500m").as_bytes()).expect("sent");
+    // On the same connection, or on another.
+    back.set_read_timeout(Some(Duration::from_millis(300))).expect("a time-out");
+    let (mut stream, head) = match message(&mut back) {
+        Some((head, _)) => (back, head),
+        None => {
+            let mut stream = node.accept();
+            let (head, _) = message(&mut stream).expect("a request");
+            (stream, head)
+        }
+    };
+    assert_eq!(id_of(&head), "next");
+    assert!(settles(0, &mut stream, &head));
+    assert_eq!(exchange(&mut next, "").2, "next");
+}
+
+/// Guards against half a line on a resting connection that becomes the next answer's begin: it comes together with the
+/// next request, in both orders.
+#[test_case(true; "the half line first")]
+#[test_case(false; "the request first")]
+fn half_a_line_on_a_resting_connection_is_nobodys(line_first: bool) {
+    let node = Hand::start();
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let gateway = Gateway::start(&list, discovery.address, |_| {});
+    let mut client = gateway.connect();
+    client.write_all(put("lookup", "one", "1200m").as_bytes()).expect("sent");
+    let mut back = node.accept();
+    let (head, _) = message(&mut back).expect("a request");
+    assert!(settles(0, &mut back, &head));
+    assert_eq!(exchange(&mut client, "").2, "one");
+    gateway.while_stopped(|| {
+        // Both lie there before it goes on, whichever came first.
+        if !line_first {
+            client.write_all(put("lookup", "two", "1200m").as_bytes()).expect("sent");
+        }
+        back.write_all(b"HTTP/1.1 20").expect("sent");
+        if line_first {
+            client.write_all(put("lookup", "two", "1200m").as_bytes()).expect("sent");
+        }
+    });
+    let mut fresh = node.accept();
+    let (head, _) = message(&mut fresh).expect("a request on a connection of its own");
+    assert!(settles(0, &mut fresh, &head));
+    assert_eq!(exchange(&mut client, "").2, "two");
+    assert!(matches!(back.read(&mut [0]), Ok(0) | Err(_)), "closed unused");
+}
+
+/// Guards against connections to a node that was there before: another takes its place under the same address.
+#[test]
+fn a_node_replaced_under_its_old_address_gets_connections_of_its_own() {
+    let node = Hand::start();
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let calls = Calls::start();
+    let gateway = Gateway::start(&list, calls.address, |_| {});
+    let mut watch = calls.begin(&list);
+    let mut client = gateway.connect();
+    client.write_all(put("lookup", "one", "1200m").as_bytes()).expect("sent");
+    let mut before = node.accept();
+    let (head, _) = message(&mut before).expect("a request");
+    assert!(settles(0, &mut before, &head));
+    assert_eq!(exchange(&mut client, "").2, "one");
+    let changed = listing(42, &[("s-1", node.address, "terminated"), ("s-2", node.address, "in_service")]);
+    watch.piece(&format!("{changed}\n"));
+    // What rested leads to the one before.
+    assert!(matches!(before.read(&mut [0]), Ok(0) | Err(_)), "closed with its node");
+    client.write_all(put("lookup", "two", "1200m").as_bytes()).expect("sent");
+    let mut after = node.accept();
+    let (head, _) = message(&mut after).expect("a request");
+    assert!(settles(0, &mut after, &head));
+    assert_eq!(exchange(&mut client, "").2, "two");
+}
+
+/// Guards against a request that is sent on behind one that said it was the last: its answer could not be told.
+#[test]
+fn nothing_is_sent_on_behind_a_request_that_closes() {
+    let node = Node::start(settles);
+    let (gateway, _discovery) = Gateway::with(&node);
+    let mut client = gateway.connect();
+    let last = put("lookup", "last", "1200m").replace("Host: ", "Connection: close\r\nHost: ");
+    client.write_all((last + &put("lookup", "behind", "1200m")).as_bytes()).expect("sent");
+    let (bytes, error) = rest(&mut client);
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(text.ends_with("last") && error.is_none(), "{text} {error:?}");
+    barrier(&gateway, "after");
+    assert_eq!(node.requests(), 2, "the last one's, and the usual client's");
+}
+
 // Lists that go silent.
 
 /// How a watch goes wrong.
