--- a/crates/http/tests/decoders.rs
+++ b/crates/http/tests/decoders.rs
@@ -49,6 +49,7 @@
 #[test_case(put("Transfer-Encoding: chunked\r\n", "2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nT: 1\r\n\r\n"), &["hello"]; "chunks with extension and trailer")]
 #[test_case(put("", ""), &[""]; "no body")]
 #[test_case([put("Content-Length: 1\r\n", "a"), b"\r\n".to_vec(), put("Content-Length: 1\r\n", "b")].concat(), &["a", "b"]; "pipelined, with a line end between")]
+#[test_case([b"\n".repeat(MOST_HEAD), put("", ""), b"\n".repeat(MOST_HEAD), put("", "")].concat(), &["", ""]; "as many blank lines as are let pass, anew before each")]
 fn read(bytes: Vec<u8>, bodies: &[&str]) {
     let found = requests(&bytes, &[bytes.len()]).expect("readable");
     let texts: Vec<_> = found.iter().map(|one| String::from_utf8_lossy(&one.body).into_owned()).collect();
@@ -73,6 +74,7 @@
 #[test_case(put("Host: other\r\n", ""), 400; "two hosts")]
 #[test_case(b"\x16\x03\x01 noise \x00\r\n\r\n".to_vec(), 400; "noise")]
 #[test_case(vec![b'x'; MOST_HEAD + 1], 431; "a head that never ends")]
+#[test_case(b"\r\n".repeat(MOST_HEAD / 2 + 1), 400; "blank lines that never end")]
 #[test_case(put(&"A: b\r\n".repeat(100), ""), 431; "too many headers")]
 fn refused(bytes: Vec<u8>, status: u16) {
     let error = requests(&bytes, &[bytes.len()]).expect_err("not to be read");
