The gateway measures how long its tasks run at a time, and says who kept the loop

A loop that stalls could not be told from a slow machine, nor the task that stalls it from the others. Each poll of a task is measured; the counts line holds how many there were, p50, p99, p999 and the longest, in microseconds; one of 100 ms or more is warned of with the task's kind, its peer and the thread's processor time meanwhile (within 10 ms).

Cost: two readings of the clock and one record a poll; the processor time is read at most once in 10 ms, as that is a system call. The cost per transaction is not measured yet.

--- a/crates/initiator/src/counts.rs
+++ b/crates/initiator/src/counts.rs
@@ -1,5 +1,7 @@
 //! What an instance counts.
 
+use crate::polls::PollSummary;
+
 /// What an instance counted since its start.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
 pub struct Counts {
@@ -24,6 +26,8 @@
     pub stalls: u64,
     /// The longest time without a turn, seconds.
     pub longest_stall: f64,
+    /// How long the loop's tasks ran at a time since the last report, microseconds.
+    pub polls: PollSummary,
     /// Node lists that a newer one took the place of before they were on disk.
     pub superseded: u64,
     /// Calls of the kernel that read or wrote on clients' and nodes' connections.
--- a/crates/initiator/src/fleet.rs
+++ b/crates/initiator/src/fleet.rs
@@ -32,6 +32,7 @@
 use tracing::{debug, info, warn};
 
 use crate::instance::Instance;
+use crate::polls::{spawn, Peer, TaskKind};
 use crate::queue::{ask, open_admin, Queue};
 use crate::turns::{turn, within, Notify};
 
@@ -163,9 +164,9 @@
         me: Weak::new(),
     }));
     fleet.borrow_mut().me = Rc::downgrade(&fleet);
-    executor.spawn(hear(Rc::downgrade(&fleet))).detach();
-    executor.spawn(tick(Rc::downgrade(&fleet))).detach();
-    executor.spawn(speak(Rc::downgrade(&fleet), instance)).detach();
+    spawn(executor, TaskKind::Fleet, Peer::None, hear(Rc::downgrade(&fleet)));
+    spawn(executor, TaskKind::Fleet, Peer::None, tick(Rc::downgrade(&fleet)));
+    spawn(executor, TaskKind::Fleet, Peer::None, speak(Rc::downgrade(&fleet), instance));
     Ok(fleet)
 }
 
@@ -333,7 +334,7 @@
             let (now, _) = this.now();
             this.core.found(now, duty, good);
         };
-        executor.spawn(probe).detach();
+        spawn(&executor, TaskKind::Fleet, Peer::None, probe);
     }
 
     /// Leaves in order: says so to others, at once.
--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -40,6 +40,7 @@
 use crate::outcome::{outcome, Ended, Progress};
 use crate::path::{Act, Event as Went, Path};
 use crate::peer::{write_out, Stuck};
+use crate::polls::{spawn, take_summary, Peer, TaskKind};
 use crate::run::Options;
 use crate::shares::Shares;
 use crate::turns::{Notify, Turns};
@@ -535,6 +536,7 @@
         (self.counts.open, self.counts.connections) = (self.open.len(), self.fronts.len() + self.backs.len());
         (self.counts.volumes, self.counts.keys) = self.core.accounts();
         self.counts.superseded = self.keeper.superseded();
+        self.counts.polls = take_summary();
         self.counts.signals = self.shares.as_ref().map(|shares| shares.signals.counts());
         self.counts.clone()
     }
@@ -954,7 +956,8 @@
         };
         node.link = Link::Opening;
         self.counts.connects += 1;
-        executor.spawn(net::open_link(self.me.clone(), name)).detach();
+        let peer = Peer::Node(name.0.clone());
+        spawn(&executor, TaskKind::NodeConnection, peer, net::open_link(self.me.clone(), name));
     }
 
     /// The queue that a shot takes: of those with room, the one with the fewest commands. Which node it goes to and
@@ -1215,7 +1218,8 @@
     fn drain_later(&mut self, connection: u64) {
         let stream = self.stream(connection);
         if let (Some(executor), Some(stream)) = (self.executor.upgrade(), stream) {
-            executor.spawn(net::drain(self.me.clone(), connection, stream)).detach();
+            let draining = net::drain(self.me.clone(), connection, stream);
+            spawn(&executor, TaskKind::Drain, Peer::None, draining);
         }
     }
 
--- a/crates/initiator/src/lib.rs
+++ b/crates/initiator/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod outcome;
 pub mod path;
 pub mod peer;
+pub mod polls;
 pub mod queue;
 pub mod register;
 pub mod run;
--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -16,6 +16,7 @@
 use tracing::debug;
 
 use crate::instance::Instance;
+use crate::polls::{spawn, Peer, TaskKind};
 use crate::queue::{open_admin, open_queue, Queue};
 use crate::turns::{accepted, read_now, turn, within, Came, READ};
 
@@ -30,7 +31,8 @@
             debug!(%peer, "closed: as many client connections as allowed");
             continue;
         };
-        executor.spawn(read_front(Rc::downgrade(&instance), connection, stream)).detach();
+        let reading = read_front(Rc::downgrade(&instance), connection, stream);
+        spawn(&executor, TaskKind::Client, Peer::Address(peer), reading);
     }
 }
 
@@ -114,7 +116,8 @@
             drop(this);
             if let Some(executor) = executor {
                 for (id, stream) in ids.into_iter().zip(streams) {
-                    executor.spawn(read_back(weak.clone(), id, stream)).detach();
+                    let reading = read_back(weak.clone(), id, stream);
+                    spawn(&executor, TaskKind::NodeConnection, Peer::Node(node.0.clone()), reading);
                 }
             }
         }
--- a/crates/initiator/src/run.rs
+++ b/crates/initiator/src/run.rs
@@ -16,6 +16,7 @@
 use crate::counts::Counts;
 use crate::fleet::{self, Fleet};
 use crate::instance::Instance;
+use crate::polls::{spawn, Peer, TaskKind};
 use crate::turns::timers;
 use crate::{net, register};
 
@@ -40,10 +41,12 @@
     let executor = Rc::new(LocalExecutor::new());
     let instance = Instance::start(options, &executor);
     info!(address = %listener.get_ref().local_addr()?, number = options.number, "listening");
-    executor.spawn(net::accept(Rc::downgrade(&instance), Rc::downgrade(&executor), listener)).detach();
-    executor.spawn(timers(Rc::downgrade(&instance))).detach();
-    executor.spawn(register::follow(Rc::downgrade(&instance))).detach();
-    executor.spawn(report(Rc::downgrade(&instance))).detach();
+    let weak = Rc::downgrade(&instance);
+    let accept = net::accept(weak.clone(), Rc::downgrade(&executor), listener);
+    spawn(&executor, TaskKind::Accept, Peer::None, accept);
+    spawn(&executor, TaskKind::Timers, Peer::None, timers(weak.clone()));
+    spawn(&executor, TaskKind::Discovery, Peer::None, register::follow(weak.clone()));
+    spawn(&executor, TaskKind::Report, Peer::None, report(weak));
     let fleet =
         options.fleet.clone().map(|options| fleet::start(options, &executor, Rc::downgrade(&instance)));
     let fleet: Option<Rc<RefCell<Fleet>>> = fleet.transpose()?;
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -16,6 +16,7 @@
 use quaypath_http::Request;
 use quaypath_initiator::core::{self, Action, Actions, Core};
 use quaypath_initiator::outcome::Progress;
+use quaypath_initiator::polls::{spawn, take_summary, Peer, PollSummary, TaskKind};
 use quaypath_initiator::turns::{Notify, Turns};
 use quaypath_initiator::wheel::Wheel;
 use quaypath_record::Clock;
@@ -84,6 +85,8 @@
     pub stalls: u64,
     /// The latest timer since the last report, seconds behind its time.
     pub lag: f64,
+    /// How long the loop's tasks ran at a time since the last report, microseconds.
+    pub polls: PollSummary,
     pub open: usize,
     pub clients: usize,
     pub node_connections: usize,
@@ -578,7 +581,8 @@
         self.timers.set(stop_at, Timer::Stop(id, shot.number));
         let message = open.message.clone();
         if let Some(executor) = self.executor.upgrade() {
-            executor.spawn(upstream::shoot(self.me.clone(), shot, message)).detach();
+            let peer = Peer::Node(shot.node.0.clone());
+            spawn(&executor, TaskKind::Attempt, peer, upstream::shoot(self.me.clone(), shot, message));
         }
     }
 
@@ -810,6 +814,7 @@
         let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
         let pages = pages.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok()).unwrap_or(0);
         self.counts.resident_kb = pages * 4;
+        self.counts.polls = take_summary();
         let counts = self.counts.clone();
         self.counts.lag = 0.0;
         counts
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -24,6 +24,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::future::yield_now;
 use futures_lite::{FutureExt, StreamExt};
+use quaypath_initiator::polls::{spawn, Peer, TaskKind};
 use quaypath_initiator::turns::{accepted, timers, turn, Notify};
 use socket2::{Domain, Protocol, Socket, Type};
 use tracing::{info, warn};
@@ -73,12 +74,15 @@
     let instance = Instance::start(config, &executor);
     let weak = Rc::downgrade(&instance);
     info!(address = %listener.get_ref().local_addr()?, %discovery, "listening");
-    executor.spawn(timers(weak.clone())).detach();
-    executor.spawn(discovery::watch_loop(weak.clone(), discovery, 0)).detach();
-    executor.spawn(report(weak.clone())).detach();
-    executor.spawn(accept(weak.clone(), Rc::downgrade(&executor), listener)).detach();
+    spawn(&executor, TaskKind::Timers, Peer::None, timers(weak.clone()));
+    let watch = discovery::watch_loop(weak.clone(), discovery, 0);
+    spawn(&executor, TaskKind::Discovery, Peer::Address(discovery), watch);
+    spawn(&executor, TaskKind::Report, Peer::None, report(weak.clone()));
+    let accept = accept(weak.clone(), Rc::downgrade(&executor), listener);
+    spawn(&executor, TaskKind::Accept, Peer::None, accept);
     let term = Rc::<Notify>::default();
-    executor.spawn(obey(weak, signals, Rc::downgrade(&executor), term.clone())).detach();
+    let obey = obey(weak, signals, Rc::downgrade(&executor), term.clone());
+    spawn(&executor, TaskKind::Signals, Peer::None, obey);
     let done = async {
         term.wait().await;
         shut_down(&instance).await;
@@ -90,12 +94,14 @@
 
 async fn accept(instance: Weakly, executor: Executor, listener: Async<TcpListener>) {
     loop {
-        let (stream, _) = accepted(&listener).await;
+        let (stream, peer) = accepted(&listener).await;
+        let peer = Peer::Address(peer);
         let (Some(this), Some(executor)) = (instance.upgrade(), executor.upgrade()) else { return };
         if let Some((number, close_request)) = turn(&this, Instance::opened) {
-            executor.spawn(front::serve(instance.clone(), number, close_request, stream)).detach();
+            let serve = front::serve(instance.clone(), number, close_request, stream);
+            spawn(&executor, TaskKind::Client, peer, serve);
         } else if let Some(refusal) = this.borrow_mut().refusal() {
-            executor.spawn(front::turn_away(stream, refusal)).detach();
+            spawn(&executor, TaskKind::TurnAway, peer, front::turn_away(stream, refusal));
         }
         // The others have their turn, however many wait to be let in; and where there are too many those that make room
         // go first, so that a crowd in the backlog is not let in all at once.
@@ -144,9 +150,8 @@
                         this.borrow_mut().newest = source;
                         info!(discovery = %config.discovery, "configuration read anew");
                         // The address of before is heard until this one has told its whole list.
-                        executor
-                            .spawn(discovery::watch_loop(instance.clone(), config.discovery, source))
-                            .detach();
+                        let watch = discovery::watch_loop(instance.clone(), config.discovery, source);
+                        spawn(&executor, TaskKind::Discovery, Peer::Address(config.discovery), watch);
                     }
                     Err(error) => warn!(%error, "the configuration cannot be read; the one of before stays"),
                 }
--- a/crates/programs/tests/rig/mod.rs
+++ b/crates/programs/tests/rig/mod.rs
@@ -227,7 +227,18 @@
 
     /// Whether its log has said this.
     pub fn logged(&self, what: &str) -> bool {
-        self.lines.lock().expect("no panic").iter().any(|line| line.contains(what))
+        !self.lines_with(what).is_empty()
+    }
+
+    /// The lines of its log that say this.
+    pub fn lines_with(&self, what: &str) -> Vec<String> {
+        let lines = self.lines.lock().expect("no panic");
+        lines.iter().filter(|line| line.contains(what)).cloned().collect()
+    }
+
+    /// Prints what it logged of tasks that kept its loop for long.
+    pub fn print_long_polls(&self) {
+        self.lines_with("kept the loop").iter().for_each(|line| println!("{line}"));
     }
 
     /// Does this while the program stands still: what comes of it lies in the kernel together once it goes on.
@@ -256,6 +267,9 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
+        if thread::panicking() {
+            self.print_long_polls();
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
@@ -307,6 +321,11 @@
 
     pub fn opens(&mut self) {
         assert!(self.watch, "a watch is wanted");
+        self.begins();
+    }
+
+    /// The head of an answer in chunks, to whatever call.
+    pub fn begins(&mut self) {
         self.bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     }
 
@@ -316,7 +335,12 @@
     }
 
     pub fn bytes(&mut self, text: &str) {
-        let _ = self.stream.write_all(text.as_bytes());
+        let _ = self.takes(text);
+    }
+
+    /// Sends bytes as they are; false once their reader has gone.
+    pub fn takes(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).is_ok()
     }
 
     pub fn reset(self) {
