--- a/crates/programs/tests/floods.rs
+++ b/crates/programs/tests/floods.rs
@@ -282,6 +282,154 @@
     }
 }
 
+/// Asks for so long, one request behind the other, and gives the longest that one took; each has to be served.
+fn slowest_usual(usual: &mut TcpStream, lasts: Duration) -> Duration {
+    let (began, mut slowest, mut number) = (Instant::now(), Duration::ZERO, 0);
+    while began.elapsed() < lasts {
+        let id = format!("id{number}");
+        let asked = Instant::now();
+        let (status, head, body) = exchange(usual, &put("lookup", &id, "1000m"));
+        assert_eq!((status, body), (200, id), "{head} after {:?}", asked.elapsed());
+        slowest = slowest.max(asked.elapsed());
+        number += 1;
+    }
+    println!("{number} usual requests, the slowest {slowest:?}");
+    slowest
+}
+
+/// What came of answers without end, one behind the other, beside usual requests.
+struct BesideEndless {
+    slowest_usual: Duration,
+    slowest_endless: Duration,
+    endless: usize,
+}
+
+/// How long a client waits for an answer without end: long before that answer's bound of size.
+const ENDLESS_TIME: Duration = Duration::from_millis(150);
+
+fn answers_without_end() -> BesideEndless {
+    let node = Node::start(endless_for_some);
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let gateway =
+        Gateway::start(&list, discovery.address, |config| config["limits"]["memory_mb"] = json!(192));
+    let stop = AtomicBool::new(false);
+    let (mut usual, mut client) = (gateway.connect(), gateway.connect());
+    let found = thread::scope(|scope| {
+        let endless = scope.spawn(|| {
+            let (mut endless, mut slowest) = (0, Duration::ZERO);
+            while !stop.load(Ordering::SeqCst) {
+                let text =
+                    put("buy", &format!("endless{endless}"), &format!("{}m", ENDLESS_TIME.as_millis()));
+                let asked = Instant::now();
+                assert_eq!(exchange(&mut client, &text).0, 500, "no promise about what has begun");
+                slowest = slowest.max(asked.elapsed());
+                endless += 1;
+            }
+            (endless, slowest)
+        });
+        let slowest_usual = slowest_usual(&mut usual, Duration::from_secs(4));
+        stop.store(true, Ordering::SeqCst);
+        let (endless, slowest_endless) = endless.join().expect("no panic");
+        BesideEndless { slowest_usual, slowest_endless, endless }
+    });
+    println!("beside {} answers without end, the slowest {:?}", found.endless, found.slowest_endless);
+    gateway.print_long_polls();
+    found
+}
+
+/// Guards against an answer without end whose time is up before its bound: the last look at what has come must not go on
+/// for as long as more comes.
+#[test]
+fn answers_without_end_at_the_end_of_their_time_leave_the_others_their_turns() {
+    let found = answers_without_end();
+    assert!(found.slowest_usual < Duration::from_secs(1), "{:?}: its client had gone", found.slowest_usual);
+    assert!(found.endless > 1, "no flood: {}", found.endless);
+}
+
+/// Guards against timers that do not ring while the loop is busy: an answer that goes on past its client's time ends
+/// there. Half a second later it counts as lost.
+#[test]
+fn answers_without_end_are_given_up_at_the_end_of_their_time() {
+    let found = answers_without_end();
+    let most = ENDLESS_TIME + Duration::from_millis(500);
+    assert!(found.slowest_endless < most, "{:?}: lost", found.slowest_endless);
+}
+
+/// What an agent of discovery sends without end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum DiscoveryFlood {
+    /// Blank bytes on the watch, between two objects.
+    BlankWatch,
+    /// Line ends on the watch, each of which is a sign of life.
+    LineEnds,
+    /// Small objects on the watch, each of which is read.
+    Objects,
+    /// Blank bytes in place of the whole list.
+    BlankList,
+}
+
+/// Sends the flood on each call from now on, at full speed; lists are answered where they are not the flood themselves.
+/// Gives how many pieces were taken.
+fn flood_calls(
+    calls: Calls, list: serde_json::Value, of: DiscoveryFlood, stop: Arc<AtomicBool>,
+) -> thread::JoinHandle<usize> {
+    let piece = match of {
+        DiscoveryFlood::BlankWatch | DiscoveryFlood::BlankList => "1\r\n \r\n".repeat(1 << 10),
+        DiscoveryFlood::LineEnds => "1\r\n\n\r\n".repeat(1 << 10),
+        DiscoveryFlood::Objects => {
+            let object = json!({"index": list["index"], "snapshot": false, "endpoints": []}).to_string();
+            format!("{:x}\r\n{object}\r\n", object.len()).repeat(1 << 7)
+        }
+    };
+    thread::spawn(move || {
+        let taken = Arc::<AtomicUsize>::default();
+        while !stop.load(Ordering::SeqCst) {
+            let Some(mut call) = calls.waiting() else {
+                thread::sleep(Duration::from_millis(2));
+                continue;
+            };
+            if !call.watch && of != DiscoveryFlood::BlankList {
+                call.list(&list);
+                continue;
+            }
+            let (piece, stop, taken) = (piece.clone(), stop.clone(), taken.clone());
+            thread::spawn(move || {
+                call.begins();
+                while !stop.load(Ordering::SeqCst) && call.takes(&piece) {
+                    taken.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+        }
+        taken.load(Ordering::SeqCst)
+    })
+}
+
+/// Guards against an agent of discovery that sends without end and leaves the others no turns: for as long as it does,
+/// each of the usual requests is served within its time.
+#[test_case(DiscoveryFlood::BlankWatch)]
+#[test_case(DiscoveryFlood::LineEnds)]
+#[test_case(DiscoveryFlood::Objects)]
+#[test_case(DiscoveryFlood::BlankList)]
+fn a_flood_of_discovery_leaves_the_others_their_turns(of: DiscoveryFlood) {
+    let node = Node::start(settles);
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let calls = Calls::start();
+    let gateway = Gateway::start(&list, calls.address, |_| {});
+    calls.begin(&list).reset();
+    let mut usual = gateway.connect();
+    assert_eq!(exchange(&mut usual, &put("lookup", "before", "1000m")).0, 200);
+    let stop = Arc::new(AtomicBool::new(false));
+    let flood = flood_calls(calls, list, of, stop.clone());
+    let slowest = slowest_usual(&mut usual, Duration::from_secs(4));
+    stop.store(true, Ordering::SeqCst);
+    let pieces = flood.join().expect("no panic");
+    println!("{of:?}: slowest {slowest:?}, beside {pieces} pieces");
+    gateway.print_long_polls();
+    assert!(slowest < Duration::from_secs(1), "{slowest:?}: its client had gone");
+    assert!(pieces > 20, "no flood: {pieces}");
+}
+
 /// Guards against memory that grows with the clients: as many as may be connected send bodies but for their last byte, and
 /// heads ahead. Those that found room in the budget are served in the end, the others were refused.
 #[test]
--- a/crates/programs/tests/rig/mod.rs
+++ b/crates/programs/tests/rig/mod.rs
@@ -239,6 +239,7 @@
     /// Prints what it logged of tasks that kept its loop for long.
     pub fn print_long_polls(&self) {
         self.lines_with("kept the loop").iter().for_each(|line| println!("{line}"));
+        self.lines_with("counts=").iter().for_each(|line| println!("{line}"));
     }
 
     /// Does this while the program stands still: what comes of it lies in the kernel together once it goes on.
