Timers ring in time while the loop is busy

Callers saw answers 2 to 4 s after a time of 150 ms while a node answered without end; every deadline and time-out of the process was as late.

Cause: a timer that is over 5 ms late waits for another look at the sockets, and then for a further one as long as the look before took over 5 ms.

Mend: one more look. All that had come by the timer's time has been read behind it; what comes later is late.

--- a/crates/initiator/src/turns.rs
+++ b/crates/initiator/src/turns.rs
@@ -158,6 +158,8 @@
 
 /// How late a timer may be before the sockets are looked at once more, seconds.
 const LATE: f64 = 0.005;
+/// A wait that only the reactor ends, by a look at the sockets.
+const ANOTHER_LOOK: Duration = Duration::from_micros(300);
 
 /// Rings the timers of an instance for as long as it lives.
 pub async fn timers<T: Turns>(instance: Weak<RefCell<T>>) {
@@ -179,17 +181,16 @@
             None => wake.wait().await,
         }
         // The process may have stood still between the reactor's last look at the sockets and now: what came
-        // meanwhile is only seen by another look, and goes before what is late by the same standstill.
-        let mut since = due.filter(|at| at.is_finite());
-        while let Some(at) = since {
+        // meanwhile is only seen by another look, and goes before what is late by the same standstill. One look is
+        // enough, as what comes behind it came after the timer's time; to go on until a look is quick would keep the
+        // timers for as long as the loop is busy.
+        if let Some(at) = due.filter(|at| at.is_finite()) {
             let Some(this) = instance.upgrade() else { return };
-            let now = this.borrow().clock_now();
+            let late = this.borrow().clock_now() - at > LATE;
             drop(this);
-            if now - at <= LATE {
-                break;
+            if late {
+                Timer::after(ANOTHER_LOOK).await;
             }
-            Timer::after(Duration::from_micros(300)).await;
-            since = Some(now);
         }
         // All that the reactor woke together with us goes first, answers among it.
         yield_now().await;
--- a/crates/programs/tests/floods.rs
+++ b/crates/programs/tests/floods.rs
@@ -353,6 +353,10 @@
 
 /// Guards against timers that do not ring while the loop is busy: an answer that goes on past its client's time ends
 /// there. Half a second later it counts as lost.
+///
+/// Seen: answered after 2 to 4 s in place of 150 ms. A late timer waited for another look at the sockets, and for a further one
+/// as long as each look took over 5 ms; beside tasks that run for 10 to 28 ms each that is for ever, so no deadline rang. The
+/// counts told so: "lag": 3.48 s with a longest poll of 0.028 s.
 #[test]
 fn answers_without_end_are_given_up_at_the_end_of_their_time() {
     let found = answers_without_end();
