--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -17,7 +17,7 @@
 
 use crate::decode::{self, Told};
 use crate::front::Answer;
-use crate::idle_reuse::REST;
+use crate::idle_reuse::SHORTEST_REST;
 use crate::instance::{Message, Node, Permit, Shot, Weakly};
 use crate::outcome::Ended;
 use crate::READ;
@@ -83,7 +83,7 @@
         while at > 0 {
             at -= 1;
             let rest = now - self.0[at].0;
-            if rest < REST {
+            if rest < SHORTEST_REST {
                 continue;
             }
             let (_, mut upstream) = self.0.remove(at);
--- a/crates/programs/tests/crossings.rs
+++ b/crates/programs/tests/crossings.rs
@@ -483,6 +483,10 @@
 
 /// Guards against an answer that goes to the next client: a second copy of it comes some milliseconds late, when the
 /// connection may have been used again.
+///
+/// Seen: 50 of 100 requests got the answer of the one before, with status 200, whether it came 2, 4 or 8 ms late. A connection
+/// was used again 1 ms behind an answer, and whatever comes on a connection in use is the answer to its request: nothing in
+/// it tells whose it is. So the second answer has to be there, and seen, before the next use.
 #[test_case(2)]
 #[test_case(4)]
 #[test_case(8)]
@@ -524,7 +528,7 @@
     assert_eq!(exchange(&mut client, "").2, "one");
     gateway.while_stopped(|| {
         // It has rested for longer than any second answer is waited for, so nothing but a look at it keeps it from use.
-        thread::sleep(Duration::from_millis(10));
+        thread::sleep(2 * SECOND_ANSWER);
         // Both lie there before it goes on, whichever came first.
         if !line_first {
             client.write_all(put("lookup", "two", "1200m").as_bytes()).expect("sent");
