--- a/crates/platform/src/idle_reuse.rs
+++ b/crates/platform/src/idle_reuse.rs
@@ -3,9 +3,9 @@
 use quaypath::ring::Ring;
 
 /// How long a connection rests after an answer before it is used again, seconds. A node may answer a second time, some
-/// milliseconds late, and nothing in an answer tells whose it is: one that comes on a connection in use is the next
-/// request's. So it has to have come, and been seen, before that use.
-pub const SHORTEST_REST: f64 = 0.01;
+/// milliseconds late and more where it is busy, and nothing in an answer tells whose it is: one that comes on a connection
+/// in use is the next request's. So it has to have come, and been seen, before that use.
+pub const SHORTEST_REST: f64 = 0.05;
 /// The shortest rests that are told apart in the statistics, seconds.
 const FIRST_KIND: f64 = 0.001;
 /// Connections may be dropped far sooner than the settings say, and without a word: by whoever keeps track of them on
