--- a/crates/programs/tests/rig/mod.rs
+++ b/crates/programs/tests/rig/mod.rs
@@ -119,6 +119,8 @@
     pub shut: Arc<AtomicBool>,
     /// Ends its watches after each line.
     pub brief: Arc<AtomicBool>,
+    /// When each list was written, and its version.
+    pub told: Arc<Mutex<Vec<(Instant, u64)>>>,
 }
 
 impl Discovery {
@@ -130,6 +132,7 @@
             list: Arc::new(Mutex::new(list)),
             shut: Arc::default(),
             brief: Arc::default(),
+            told: Arc::default(),
         };
         let all = this.clone();
         thread::spawn(move || {
@@ -148,7 +151,10 @@
         let (head, _) = message(stream)?;
         let now = || self.list.lock().expect("no panic").clone();
         if !head.contains("watch=1") {
-            answer(stream, "200 OK", &now().to_string());
+            let list = now();
+            if answer(stream, "200 OK", &list.to_string()) {
+                self.note(&list);
+            }
             return None;
         }
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
@@ -156,12 +162,16 @@
         while !self.shut.load(Ordering::SeqCst) {
             let list = now();
             let line = if list == told { "\n".to_string() } else { format!("{list}\n") };
+            let news = list != told;
             told = list;
             // A line comes in two chunks.
             let (one, other) = line.split_at(line.len() / 2);
             for piece in [one, other].into_iter().filter(|piece| !piece.is_empty()) {
                 stream.write_all(format!("{:x}\r\n{piece}\r\n", piece.len()).as_bytes()).ok()?;
             }
+            if news {
+                self.note(&told);
+            }
             if self.brief.load(Ordering::SeqCst) {
                 return None;
             }
@@ -170,6 +180,11 @@
         None
     }
 
+    fn note(&self, list: &Value) {
+        let index = list["index"].as_u64().expect("a version");
+        self.told.lock().expect("no panic").push((Instant::now(), index));
+    }
+
     pub fn set(&self, list: Value) {
         *self.list.lock().expect("no panic") = list;
     }
@@ -269,7 +284,7 @@
         // One that was closed meanwhile is not there any more.
         let copies =
             numbers.filter_map(|number| pidfd_getfd(&process, number, PidfdGetfdFlags::empty()).ok());
-        copies.filter(|copy| is_opening(copy)).count()
+        copies.filter(is_opening).count()
     }
 
     pub fn connect(&self) -> TcpStream {
