--- a/crates/programs/tests/floods.rs
+++ b/crates/programs/tests/floods.rs
@@ -364,6 +364,36 @@
     assert!(found.slowest_endless < most, "{:?}: lost", found.slowest_endless);
 }
 
+/// Guards against a stop whose steps come late beside answers without end: what is open has to be answered before the kill,
+/// and the process to end by itself.
+#[test]
+fn a_stop_beside_answers_without_end_is_in_time() {
+    let node = Node::start(endless_for_some);
+    let list = listing(41, &[("s-1", node.address, "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let mut gateway =
+        Gateway::start(&list, discovery.address, |config| config["limits"]["memory_mb"] = json!(192));
+    let mut clients: Vec<TcpStream> = (0..4).map(|_| gateway.connect()).collect();
+    // The kill comes as soon as the page allows: 0.7 s behind the longest deadline.
+    let kill = Instant::now() + Duration::from_millis(2500 + 700);
+    gateway.signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(1500));
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.write_all(put("buy", &format!("endless{number}"), "2500m").as_bytes()).expect("sent");
+    }
+    let answers: Vec<(u16, Instant)> = thread::scope(|scope| {
+        let waits = |client| scope.spawn(move || (exchange(client, "").0, Instant::now()));
+        let threads: Vec<_> = clients.iter_mut().map(waits).collect();
+        threads.into_iter().map(|thread| thread.join().expect("no panic")).collect()
+    });
+    let status = gateway.child.wait().expect("ended");
+    let ended = Instant::now();
+    gateway.print_long_polls();
+    assert!(answers.iter().all(|(status, at)| *status == 500 && *at < kill), "{answers:?}, kill at {kill:?}");
+    assert_eq!(status.code(), Some(0));
+    assert!(ended < kill, "{:?} behind the kill", ended - kill);
+}
+
 /// What an agent of discovery sends without end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum DiscoveryFlood {
