--- a/crates/initiator/src/net.rs
+++ b/crates/initiator/src/net.rs
@@ -8,7 +8,6 @@
 
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::future::yield_now;
 use quaypath::types::NodeId;
 use quaypath_nvme::host::Offer;
 use quaypath_nvme::pdu::Format;
@@ -16,7 +15,7 @@
 use tracing::debug;
 
 use crate::instance::Instance;
-use crate::polls::{spawn, Peer, TaskKind};
+use crate::polls::{spawn, yield_if_spent, Peer, TaskKind};
 use crate::queue::{open_admin, open_queue, Queue};
 use crate::turns::{accepted, read_now, turn, within, Came, READ};
 
@@ -41,6 +40,8 @@
     take: impl Fn(&mut Instance, &[u8]) -> bool, close: impl Fn(&mut Instance),
 ) {
     loop {
+        // One peer that never stops must not keep the others and the timers from their turns.
+        yield_if_spent().await;
         let Some(this) = instance.upgrade() else { return };
         this.borrow_mut().counts.reads += 1;
         let read = read_now(stream.get_ref(), READ, |bytes| turn(&this, |this| take(this, bytes)));
@@ -63,8 +64,6 @@
             return turn(&this, close);
         }
         drop(this);
-        // One peer that never stops must not keep the others and the timers from their turns.
-        yield_now().await;
     }
 }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use quaypath_http::{error, response, Request, RequestDecoder, MOST_HEAD};
+use quaypath_initiator::polls::yield_if_spent;
 use quaypath_initiator::turns::{read_now, read_some, turn, within, Came, Notify, Turns};
 
 use crate::instance::{Permit, Shared, ShutdownStage, Weakly};
@@ -185,8 +185,8 @@
             if close {
                 return self.end().await;
             }
-            // One that never stops must not keep the others from their turns.
-            yield_now().await;
+            // Many requests may have come in one read.
+            yield_if_spent().await;
         }
     }
 
@@ -327,7 +327,6 @@
                     Ok(Came::Bytes(over)) => overrun |= over,
                     Ok(Came::End) | Err(_) => return None,
                 }
-                yield_now().await;
             }
         };
         let answer = async { Some(reply.wait().await) }.or(gone).await;
@@ -395,7 +394,6 @@
                 Came::Bytes(count) => left = left.saturating_sub(count),
                 Came::End => break,
             }
-            yield_now().await;
         }
         Ok(())
     };
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -108,11 +108,11 @@
         }
         // The others have their turn, however many wait to be let in; and where there are too many those that make room
         // go first, so that a crowd in the backlog is not let in all at once.
-        yield_now().await;
-        let mut turns = 1;
-        while turns < YIELDS && this.borrow().crowded() {
-            turns += 1;
+        for _ in 0..YIELDS {
             yield_now().await;
+            if !this.borrow().crowded() {
+                break;
+            }
         }
     }
 }
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use async_io::Async;
-use futures_lite::future::{pending, yield_now};
+use futures_lite::future::pending;
 use futures_lite::FutureExt;
 use quaypath_http::{Part, Refused, ResponseDecoder, ResponseHead};
 use quaypath_initiator::outcome::Progress;
@@ -244,8 +244,6 @@
                 Ok(Came::End) if incoming.finish() => return answered(incoming),
                 Ok(Came::End) | Err(_) => return Ended::Lost,
             }
-            // One that sends without end must not keep the others from their turns.
-            yield_now().await;
         }
     };
     writing.or(reading).await
--- a/crates/programs/tests/soak/judge.rs
+++ b/crates/programs/tests/soak/judge.rs
@@ -126,10 +126,10 @@
             match event {
                 Event::Started { process: of } if *of == process => terminated = false,
                 Event::Terminated { process: of } if *of == process => terminated = true,
-                Event::Killed { process: of } if *of == process => {
-                    if !terminated && (from..=to).contains(at) {
-                        return true;
-                    }
+                Event::Killed { process: of }
+                    if *of == process && !terminated && (from..=to).contains(at) =>
+                {
+                    return true;
                 }
                 _ => {}
             }
