An attempt of the soak is over with the last byte of its answer

The transcript has the further attempt 7 ms behind the begin of one that the node had answered with 500, on another connection: the stand-in took an attempt for open until its own thread went on behind the write, which a busy machine puts off.

--- a/crates/programs/tests/soak/node.rs
+++ b/crates/programs/tests/soak/node.rs
@@ -100,6 +100,8 @@
         before
     }
 
+    /// An attempt is over with the last byte of its answer: called before that is written, as the next attempt may come before
+    /// this thread goes on.
     fn close(&self, id: &str, stream: &TcpStream) {
         let mut open = self.open.lock().expect("no panic");
         let Some(same) = open.get_mut(id) else { return };
@@ -127,18 +129,15 @@
                 resets(stream);
                 false
             }
-            Mood::Pieces => {
-                self.recorder.note(Event::Served { id: id.to_string() });
-                let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
-                text.as_bytes().chunks(7).all(|piece| {
-                    thread::sleep(Duration::from_millis(1));
-                    stream.write_all(piece).is_ok()
-                })
-            }
+            Mood::Pieces => self.settle_by_pieces(stream, id),
             Mood::AnswersTwice => self.settle_twice(stream, id),
-            Mood::Fails => answer(stream, "500 Error", ""),
+            Mood::Fails => {
+                self.close(id, stream);
+                answer(stream, "500 Error", "")
+            }
             Mood::TurnsAway => {
                 self.recorder.note(Event::TurnedAway { id: id.to_string() });
+                self.close(id, stream);
                 let text = "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
                 stream.write_all(text.as_bytes()).is_ok()
             }
@@ -153,9 +152,22 @@
 
     fn settle(&self, stream: &mut TcpStream, id: &str) -> bool {
         self.recorder.note(Event::Served { id: id.to_string() });
+        self.close(id, stream);
         answer(stream, "200 OK", id)
     }
 
+    fn settle_by_pieces(&self, stream: &mut TcpStream, id: &str) -> bool {
+        self.recorder.note(Event::Served { id: id.to_string() });
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
+        let (begin, last) = text.as_bytes().split_at(text.len() - 1);
+        let begun = begin.chunks(7).all(|piece| {
+            thread::sleep(Duration::from_millis(1));
+            stream.write_all(piece).is_ok()
+        });
+        self.close(id, stream);
+        begun && stream.write_all(last).is_ok()
+    }
+
     fn settle_twice(&self, stream: &mut TcpStream, id: &str) -> bool {
         let mut second = stream.try_clone().expect("a socket");
         let (began, id, recorder) = (Instant::now(), id.to_string(), self.recorder.clone());
