--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -466,6 +466,7 @@
 #[test_case(Case { more: 7, ..USUAL }; "twice the volumes")]
 #[test_case(Case { more: 30, bears: 30.0, ..USUAL }; "five times the volumes")]
 #[test_case(Case { more: 30, bears: 30.0, load: 1.5, restarted: Some(5.0), ..USUAL }; "five times, and all just up")]
+#[test_case(Case { more: 105, bears: 30.0, load: 1.5, restarted: Some(5.0), ..USUAL }; "sixteen times, and all just up")]
 fn the_sum_of_all_stays_within_what_a_cold_node_bears(case: Case) {
     // For a long look: RAMP_SEEDS=100 cargo test --release --test ramp -- --nocapture
     let seeds = std::env::var("RAMP_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(4);
