--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -14,6 +14,7 @@
 use quaypath_initiator::turns::{read_now, read_some, turn, within, Came, Notify, Turns};
 
 use crate::instance::{Permit, Shared, ShutdownStage, Weakly};
+use crate::READ;
 
 /// A whole request is wanted within so many seconds of the connection's opening, or of its own first byte.
 const PATIENCE: f64 = 2.5;
@@ -31,8 +32,6 @@
 const TURNED_AWAY: f64 = 0.2;
 /// How often a client that asks whether we are up is looked after while we are not, seconds.
 const ASKED_AGAIN: Duration = Duration::from_millis(10);
-/// Most that is read at once: what a client sends is held only as far as it is looked at.
-const READ: usize = 16 << 10;
 
 /// The state of a client connection. Every change goes through [`ClientConnection::to`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -34,9 +34,9 @@
 
 use instance::{Instance, Shared, ShutdownStage, Weakly};
 
-/// Most that is read at once from a node or discovery, bytes: a usual answer at most, so that what one read brings is
-/// worked through within a poll's time however small its pieces are.
-const READ: usize = 64 << 10;
+/// Most that is read at once, bytes: what one read brings is worked through in one poll, however small its pieces are, and
+/// what a client sends is held only as far as it is looked at.
+const READ: usize = 16 << 10;
 /// Connections that the kernel holds for us until they are accepted.
 const BACKLOG: i32 = 1024;
 /// The kill comes no sooner after SIGTERM than the longest deadline, counted as this where it is longer, and a bit,
