Review: bad clients and endless answers take the gateway over its memory limit

Cause: only bodies are bounded by the memory limit; heads and bytes sent ahead are bounded for each connection, and the number of connections comes from the descriptors alone.

--- a/review/standins.rs
+++ b/review/standins.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{exit, Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -107,11 +107,13 @@
 
 // Target.
 
-/// `standins target NAME ZONE SHARD ADDRESS WORK_MS RECORD`: takes requests for one shard. A request arrives with its last
+/// `standins target NAME ZONE SHARD ADDRESS WORK_MS RECORD SPOILT`: takes requests for one shard. A request arrives with its last
 /// byte, takes effect after a quarter of its work, and is answered after the rest with 200 and its id.
+/// While the file SPOILT exists, every second answer is spoilt: it has a body in chunks that never ends.
 fn target(arguments: &[String]) {
-    let [name, zone, shard, address, work_ms, record] = arguments else { cannot_run("target: arguments") };
+    let [name, zone, shard, address, work_ms, record, spoilt] = arguments else { cannot_run("target: arguments") };
     let (name, zone, shard) = (name.clone(), zone.clone(), shard.clone());
+    let (spoilt, answers) = (spoilt.clone(), Arc::new(AtomicU64::new(0)));
     let work: f64 = work_ms.parse::<f64>().unwrap_or(1.0) / 1e3;
     let record = Record::open(record);
     let listener = TcpListener::bind(address).unwrap_or_else(|error| cannot_run(&format!("{address}: {error}")));
@@ -119,6 +121,7 @@
     for stream in listener.incoming() {
         let Ok(mut stream) = stream else { continue };
         let (name, zone, shard, record) = (name.clone(), zone.clone(), shard.clone(), record.clone());
+        let (spoilt, answers) = (spoilt.clone(), answers.clone());
         thread::spawn(move || {
             let _ = stream.set_nodelay(true);
             while let Some(request) = read_message(&mut stream) {
@@ -146,6 +149,11 @@
                 sleep(work / 4.0);
                 record.line(format!("ran target={name} zone={zone} id={id}"));
                 sleep(work * 0.75);
+                if std::path::Path::new(&spoilt).exists() && answers.fetch_add(1, Ordering::SeqCst) % 2 == 0 {
+                    record.line(format!("spoilt target={name} id={id}: an answer that never ends"));
+                    never_end(&mut stream);
+                    break;
+                }
                 if write_answer(&mut stream, "200 OK", "X-Server-Load: TEXT latency_ms=20\r\n", &id) {
                     record.line(format!("answered target={name} id={id} status=200"));
                 }
@@ -154,6 +162,18 @@
     }
 }
 
+/// Sends the head of an answer and chunks of 8 KiB, 270 KB a second, until the connection breaks.
+fn never_end(stream: &mut TcpStream) {
+    let mut chunk = b"2000\r\n".to_vec();
+    chunk.extend([b'w'; 0x2000]);
+    chunk.extend(b"\r\n");
+    let mut more = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_ok();
+    while more {
+        more = stream.write_all(&chunk).is_ok();
+        sleep(0.03);
+    }
+}
+
 /// A process that is killed when dropped.
 struct Process(Child);
 
@@ -167,6 +187,7 @@
         let program = std::env::current_exe().unwrap_or_else(|error| cannot_run(&error.to_string()));
         let child = Command::new(program)
             .args(["target", name, zone, &shard.to_string(), &address.to_string(), &work_ms.to_string(), record])
+            .arg(spoilt_file())
             .spawn()
             .unwrap_or_else(|error| cannot_run(&format!("target: {error}")));
         let process = Process::started(child);
@@ -187,6 +208,11 @@
     }
 }
 
+/// The file whose presence tells the targets to spoil answers.
+fn spoilt_file() -> String {
+    format!("{}/spoilt", std::env::var("TMPDIR").unwrap_or_else(|_| cannot_run("no TMPDIR")))
+}
+
 fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let began = Instant::now();
     while !condition() {
@@ -329,13 +355,15 @@
 
 impl Gateway {
     /// Starts the program by the command of the deploy file and waits until it says that it is ready.
-    fn start(settings: &str, known: &str, discovery: SocketAddr, record: &Record) -> Gateway {
+    fn start(
+        settings: &str, known: &str, discovery: SocketAddr, memory_mb: u64, sockets: u64, record: &Record,
+    ) -> Gateway {
         let variable = |name: &str| std::env::var(name).unwrap_or_else(|_| cannot_run(&format!("no {name}")));
         let (folder, address) = (variable("TMPDIR"), free_address());
         let config = format!("{folder}/config.json");
         let text = format!(
             "{{\"name\":\"n0\",\"listen\":\"{address}\",\"discovery\":\"{discovery}\",\"seed\":\"{:016x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"known\":{known},\"settings\":{settings}}}",
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":{sockets}}},\"known\":{known},\"settings\":{settings}}}",
             now().to_bits()
         );
         std::fs::write(&config, text).unwrap_or_else(|error| cannot_run(&error.to_string()));
@@ -363,6 +391,16 @@
         gateway
     }
 
+    /// Resident memory and its part that is not backed by files, bytes; `None` once the process has ended.
+    fn memory(id: u32) -> Option<(u64, u64)> {
+        let text = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let kib = |name: &str| {
+            let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+            line.split_whitespace().next()?.parse::<u64>().ok()
+        };
+        Some((kib("VmRSS:")? * 1024, kib("RssAnon:")? * 1024))
+    }
+
     fn is_running(&mut self) -> bool {
         matches!(self.process.0.try_wait(), Ok(None))
     }
@@ -468,7 +506,7 @@
             let broken = match arguments.get(1).map(String::as_str) {
                 Some("zone") => cases::zone(&path, &record, trouble),
                 Some("slow") => cases::slow(&path, &record, trouble),
-                Some("limit") => cases::limit(&path, &record, trouble),
+                Some("memory") => cases::memory(&path, &record, trouble),
                 _ => cannot_run("no such case"),
             };
             end(i32::from(broken));
@@ -507,6 +545,9 @@
         Endpoint { name, address, zone, shard, status: "in_service", since_ms: 0, changed: 41 }
     }
 
+    /// Number of requests so far; each has a new id.
+    static ASKED: AtomicU64 = AtomicU64::new(1);
+
     /// Clients that ask one after another, each on a connection of its own, until `stop`.
     fn clients(
         gateway: SocketAddr, count: usize, pause: f64, asked: Ask, stop: &Arc<AtomicBool>, record: &Record,
@@ -515,11 +556,11 @@
             .map(|client| {
                 let (asked, stop, record) = (asked.clone(), stop.clone(), record.clone());
                 thread::spawn(move || {
-                    let (mut kept, mut number) = (None, 0);
+                    let mut kept = None;
                     sleep(0.017 * client as f64);
                     while !stop.load(Ordering::SeqCst) {
-                        number += 1;
-                        let id = format!("{:04x}{client:04x}{number:08x}", std::process::id() & 0xffff);
+                        let number = ASKED.fetch_add(1, Ordering::SeqCst);
+                        let id = format!("{:04x}{number:012x}", std::process::id() & 0xffff);
                         ask(gateway, &mut kept, &asked, &id, &record);
                         sleep(pause);
                     }
@@ -538,7 +579,7 @@
         let mut old = Process::target("s-1", "hall-a", 3, first, 90.0, path);
         let discovery = Discovery::start(vec![endpoint("s-1", first, "hall-a", 3)], 0, record);
         let known = discovery.list.lock().unwrap().json(true, 0);
-        let mut gateway = Gateway::start(&settings(TAGGED_BUY), &known, discovery.address, record);
+        let mut gateway = Gateway::start(&settings(TAGGED_BUY), &known, discovery.address, 192, 1024, record);
         let stop = Arc::new(AtomicBool::new(false));
         let asked = Ask {
             class: "ticket-buy",
@@ -607,7 +648,7 @@
         let delay = if trouble { 800 } else { 0 };
         let discovery = Discovery::start(vec![endpoint("s-1", first, "hall-a", 3)], delay, record);
         let known = discovery.list.lock().unwrap().json(true, 0);
-        let mut gateway = Gateway::start(&settings(ONCE_ONLY_BUY), &known, discovery.address, record);
+        let mut gateway = Gateway::start(&settings(ONCE_ONLY_BUY), &known, discovery.address, 192, 1024, record);
         let stop = Arc::new(AtomicBool::new(false));
         let asked = Ask {
             class: "ticket-buy",
@@ -665,10 +706,113 @@
         late > 0
     }
 
-    pub fn limit(_path: &str, _record: &Record, _trouble: bool) -> bool {
-        cannot_run("not written")
+    /// Many bad clients send much at once while targets send answers that never end; the platform kills an initiator that
+    /// goes over its memory limit.
+    pub fn memory(path: &str, record: &Record, trouble: bool) -> bool {
+        const MEMORY_MB: u64 = 32;
+        const NAMES: [&str; 9] = ["s-0", "s-1", "s-2", "s-3", "s-4", "s-5", "s-6", "s-7", "s-8"];
+        let addresses: Vec<SocketAddr> = NAMES.iter().map(|_| free_address()).collect();
+        let shards = || NAMES.iter().zip(&addresses).zip(0i64..);
+        let targets: Vec<Process> = shards()
+            .map(|((name, address), shard)| Process::target(name, "hall-a", shard, *address, 20.0, path))
+            .collect();
+        let endpoints =
+            shards().map(|((name, address), shard)| endpoint(name, *address, "hall-a", shard)).collect();
+        let discovery = Discovery::start(endpoints, 0, record);
+        let known = discovery.list.lock().unwrap().json(true, 0);
+        let mut gateway =
+            Gateway::start(&settings(ONCE_ONLY_BUY), &known, discovery.address, MEMORY_MB, 1024, record);
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut handles = Vec::new();
+        for shard in 0..9 {
+            let asked = Ask {
+                class: "trip-lookup",
+                plan: "standard",
+                volume: "00000003b4d60021",
+                units: 1,
+                shard,
+                hosts: 1,
+                timeout_ms: 1200,
+            };
+            handles.extend(clients(gateway.address, 2, 0.1, asked, &stop, record));
+        }
+        // The platform: looks every 2 ms, and kills what is over its limit. Only memory that is not backed by files counts
+        // here, and a MB is 2^20 bytes, which both favour the gateway.
+        let (id, platform_record, watching) = (gateway.process.0.id(), record.clone(), stop.clone());
+        let platform = thread::spawn(move || {
+            let mut most = (0, 0);
+            while !watching.load(Ordering::SeqCst) {
+                let Some(memory) = Gateway::memory(id) else { break };
+                most = most.max(memory);
+                if memory.1 > MEMORY_MB << 20 {
+                    let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
+                    platform_record.line(format!(
+                        "BROKEN the platform kills the gateway: {} bytes resident, {} of them anonymous, limit {MEMORY_MB} MB",
+                        memory.0, memory.1
+                    ));
+                    return (true, most);
+                }
+                sleep(0.002);
+            }
+            (false, most)
+        });
+        sleep(2.0);
+        let mut floods = Vec::new();
+        if trouble {
+            record.line("trouble spoilt answers, and 450 bad clients that send 3 long requests at once".into());
+            let _ = File::create(spoilt_file());
+            floods = (0..450).filter_map(|client| bad_client(gateway.address, client)).collect();
+        }
+        sleep(8.0);
+        stop.store(true, Ordering::SeqCst);
+        join(handles);
+        join(floods);
+        let (killed, most) = platform.join().unwrap_or_else(|_| cannot_run("the platform"));
+        let running = gateway.is_running();
+        drop((gateway, targets));
+        let (mut served, mut lost) = (0, 0);
+        for event in read_record(path) {
+            served += usize::from(event.kind == "final" && event.field("status") == "200");
+            lost += usize::from(event.kind == "no-answer");
+        }
+        record.line(format!(
+            "verdict served={served} killed={killed} unanswered={lost} most_resident={} most_anonymous={}",
+            most.0, most.1
+        ));
+        if served < 50 || (!running && !killed) {
+            cannot_run("too few requests were served, or the gateway has ended by itself");
+        }
+        killed
     }
 
-    #[allow(dead_code)]
-    const UNUSED: ErrorKind = ErrorKind::Other;
+    /// A bad client: sends three requests at once, each with a long head and a body, and reads what it is sent.
+    fn bad_client(gateway: SocketAddr, client: usize) -> Option<thread::JoinHandle<()>> {
+        let mut bytes = Vec::new();
+        for number in 0..3 {
+            let padding: String = (0..38).map(|line| format!("X-A{line}: {}\r\n", "y".repeat(405))).collect();
+            bytes.extend(
+                format!(
+                    "PUT /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: bad{client}-{number}\r\n\
+                     X-Priority-Class: history-export\r\nX-Storage-Class: standard\r\nCookie: extent=7f3a9c21e0b4d655\r\n\
+                     X-Timeout: 5000m\r\nContent-Length: 14000\r\n{padding}\
+                     X-Extent: volume=00000003b4d6{client:04x},units=1,shard={},hosts=1\r\n\r\n",
+                    client % 9
+                )
+                .bytes(),
+            );
+            bytes.extend([b'z'; 14000]);
+        }
+        let mut stream = TcpStream::connect(gateway).ok()?;
+        let mut reading = stream.try_clone().ok()?;
+        let builder = || thread::Builder::new().stack_size(64 << 10);
+        let _ = reading.set_read_timeout(Some(Duration::from_secs(8)));
+        let _ = stream.set_write_timeout(Some(Duration::from_secs(8)));
+        builder().spawn(move || drop(stream.write_all(&bytes).map(|()| sleep(6.0)))).ok()?;
+        builder()
+            .spawn(move || {
+                let mut buffer = [0; 4096];
+                while reading.read(&mut buffer).is_ok_and(|count| count > 0) {}
+            })
+            .ok()
+    }
 }
