--- a/review/standins.rs
+++ b/review/standins.rs
@@ -648,7 +648,7 @@
         let (first, second) = (free_address(), free_address());
         let old = Process::target("s-1", "hall-a", 3, first, 20.0, 0, path);
         let new = Process::target("s-2", "hall-a", 3, second, 20.0, 0, path);
-        let delay = if trouble { 800 } else { 0 };
+        let delay = if trouble { 700 } else { 0 };
         let discovery = Discovery::start(vec![endpoint("s-1", first, "hall-a", 3)], delay, record);
         let known = discovery.list.lock().unwrap().json(true, 0);
         let mut gateway = Gateway::start(&settings(ONCE_ONLY_BUY), &known, discovery.address, 192, 1024, record);
