--- a/crates/initiator/src/core.rs
+++ b/crates/initiator/src/core.rs
@@ -7,7 +7,7 @@
 use quaypath_settings::Deployment;
 use tracing::info;
 
-use crate::node_list::{ListedNode, RegisterCall};
+use crate::node_list::RegisterCall;
 
 /// Actions that the core requested during a call and, if they are recorded, its latency observations: block and latency
 /// divided by the due time.
@@ -222,10 +222,8 @@
         if kind == ListKind::Failed && self.must_subscribe {
             out.set_timer(1.0, 0);
         }
-        for (node, block, condition, ..) in entries {
-            if *condition == NodeCondition::Ready {
-                self.nodes.insert(*block, node.clone());
-            }
+        for entry in entries.iter().filter(|entry| entry.condition == NodeCondition::Ready) {
+            self.nodes.insert(entry.block, entry.node_id.clone());
         }
     }
     fn transaction_received(
--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -38,7 +38,7 @@
 use crate::index::Index;
 use crate::net;
 use crate::node_association::{Effect, Event as AssociationEvent, NodeAssociation};
-use crate::node_list::{ListSnapshot, ListedNode, NodeList, RegisterCall};
+use crate::node_list::{ListSnapshot, NodeList, RegisterCall};
 use crate::outcome::{outcome, Progress, ShotEnd};
 use crate::peer::{write_output, StallDetector};
 use crate::peer_signals::PeerSignals;
@@ -662,12 +662,9 @@
 
     /// The ready node of each block, according to the current node list.
     pub fn ready_nodes(&self) -> BTreeMap<BlockId, NodeId> {
-        let ready = self
-            .node_list
-            .listed()
-            .into_iter()
-            .filter(|(_, _, condition, ..)| *condition == NodeCondition::Ready);
-        ready.map(|(node, block, ..)| (block, node)).collect()
+        let ready =
+            self.node_list.listed().into_iter().filter(|entry| entry.condition == NodeCondition::Ready);
+        ready.map(|entry| (entry.block, entry.node_id)).collect()
     }
 
     /// Queues a failed fetch for the core, when a call failed or the connection to the register ended while a call may
@@ -682,7 +679,7 @@
     /// connections whose bytes are still in the kernel at the end of the drain grace are reset.
     fn fence_unavailable_nodes(&mut self, listed: &[ListedNode], kind: ListKind) {
         let mut unavailable: Vec<NodeId> = Vec::new();
-        for (node, _, condition, started, _) in listed {
+        for ListedNode { node_id: node, condition, started, .. } in listed {
             match condition {
                 NodeCondition::Ready => {
                     let Some(state) = self.nodes.get_mut(node) else { continue };
@@ -697,7 +694,7 @@
             }
         }
         if matches!(kind, ListKind::Whole) {
-            let is_listed = |node: &NodeId| listed.iter().any(|(listed, ..)| listed == node);
+            let is_listed = |node: &NodeId| listed.iter().any(|entry| entry.node_id == *node);
             unavailable.extend(self.nodes.keys().filter(|node| !is_listed(node)).cloned());
         }
         let grace = self.drain_grace();
--- a/crates/initiator/src/node_list.rs
+++ b/crates/initiator/src/node_list.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::path::Path;
 
-use quaypath::types::{BlockId, NodeCondition, NodeId};
+use quaypath::types::{BlockId, ListedNode, NodeCondition, NodeId};
 use serde::{Deserialize, Serialize};
 
 /// Limit of the nodes in one list.
@@ -42,9 +42,6 @@
     pub entries: Vec<NodeEntry>,
 }
 
-/// An entry in the form of the core. The register does not report node sizes, so the size is 0.
-pub type ListedNode = quaypath::types::ListedNode;
-
 /// A node as it is stored on disk, in JSON.
 #[derive(Debug, Serialize, Deserialize)]
 struct Row {
@@ -83,7 +80,9 @@
 
     /// All nodes of the list in the form of the core.
     pub fn listed(&self) -> Vec<ListedNode> {
-        self.rows.iter().map(Row::listed).collect()
+        let stored_condition =
+            |row: &Row| if row.ready { NodeCondition::Ready } else { NodeCondition::Draining };
+        self.rows.iter().map(|row| row.listed(stored_condition(row))).collect()
     }
 
     /// Replaces the list by a snapshot that was received at the clock time `now`, seconds. Returns the entries of the
@@ -106,7 +105,7 @@
                 started,
                 start: entry.start,
             };
-            listed.push((NodeId(row.node.as_str().into()), BlockId(row.block), condition, started, 0.0));
+            listed.push(row.listed(condition));
             match (position, condition) {
                 (Some(position), NodeCondition::Removed) => drop(self.rows.remove(position)),
                 (Some(position), _) => self.rows[position] = row,
@@ -119,9 +118,15 @@
 }
 
 impl Row {
-    fn listed(&self) -> ListedNode {
-        let condition = if self.ready { NodeCondition::Ready } else { NodeCondition::Draining };
-        (NodeId(self.node.as_str().into()), BlockId(self.block), condition, self.started, 0.0)
+    /// The node in the form of the core. The register does not report node sizes.
+    fn listed(&self, condition: NodeCondition) -> ListedNode {
+        ListedNode {
+            node_id: NodeId(self.node.as_str().into()),
+            block: BlockId(self.block),
+            condition,
+            started: self.started,
+            size: 0.0,
+        }
     }
 }
 
@@ -146,7 +151,7 @@
         let first = list.update(100.0, &snapshot(vec![entry("n", NodeCondition::Ready, 5.0, 1)]));
         let repeated = list.update(110.0, &snapshot(vec![entry("n", NodeCondition::Ready, 15.3, 1)]));
         let new = list.update(120.0, &snapshot(vec![entry("n", NodeCondition::Ready, 0.5, 2)]));
-        assert_eq!((first[0].3, repeated[0].3, new[0].3), (95.0, 95.0, 119.5));
+        assert_eq!((first[0].started, repeated[0].started, new[0].started), (95.0, 95.0, 119.5));
     }
 
     /// Guards against a stored list that differs from the one in memory, and against a start that fails because of a
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -779,10 +779,16 @@
                     }
                 }
             }
-            entries.push((name, BlockId(endpoint.group), condition, started, endpoint.weight));
+            entries.push(ListedNode {
+                node_id: name,
+                block: BlockId(endpoint.group),
+                condition,
+                started,
+                size: endpoint.weight,
+            });
         }
         if kind != ListKind::Changes {
-            let listed: BTreeSet<&NodeId> = entries.iter().map(|(name, ..)| name).collect();
+            let listed: BTreeSet<&NodeId> = entries.iter().map(|entry| &entry.node_id).collect();
             let removed: Vec<NodeId> =
                 self.nodes.keys().filter(|name| !listed.contains(name)).cloned().collect();
             removed.iter().for_each(|name| self.remove_node(name));
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -371,7 +371,13 @@
         unknown => return Err(format!("ENTRY: field Condition: unknown value '{unknown}'")),
     };
     let block = BlockId(fields.value(3, "Block")?.unwrap_or(-1));
-    Ok((fields.node(0)?, block, condition, fields.time(6, "StartTime")?, fields.time(5, "Scale")?))
+    Ok(ListedNode {
+        node_id: fields.node(0)?,
+        block,
+        condition,
+        started: fields.time(6, "StartTime")?,
+        size: fields.time(5, "Scale")?,
+    })
 }
 
 /// Decodes one event and passes it to the instance `name`.
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -159,11 +159,11 @@
         }
         self.failed_fetches = 0;
         if kind != ListKind::Changes {
-            let listed: BTreeSet<_> = entries.iter().map(|(node_id, ..)| Some(node_id)).collect();
+            let listed: BTreeSet<_> = entries.iter().map(|entry| Some(&entry.node_id)).collect();
             let removed = self.nodes.values_mut().filter(|node| !listed.contains(&node.node_id.as_ref()));
             removed.for_each(|node| node.send_until = 0.0);
         }
-        for (node_id, block, condition, started, size) in entries {
+        for ListedNode { node_id, block, condition, started, size } in entries {
             let same_node = self.nodes.get(block).is_some_and(|node| node.node_id.as_ref() == Some(node_id));
             if *condition != NodeCondition::Ready {
                 let still_served = kind == ListKind::Changes && *condition == NodeCondition::Draining;
--- a/src/types.rs
+++ b/src/types.rs
@@ -115,9 +115,17 @@
     Failed,
 }
 
-/// A node as the register lists it: its address, block and state, the clock time at which it started (0: long ago)
-/// and its size relative to other nodes (no unit; 0: not reported).
-pub type ListedNode = (NodeId, BlockId, NodeCondition, f64, f64);
+/// A node as the register lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListedNode {
+    pub node_id: NodeId,
+    pub block: BlockId,
+    pub condition: NodeCondition,
+    /// The clock time at which it started, seconds; 0 if that was long ago.
+    pub started: f64,
+    /// Its size relative to other nodes, without a unit; 0 if it is not reported.
+    pub size: f64,
+}
 
 /// Settings of the decision core.
 #[derive(Clone, Debug, Default)]
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -147,7 +147,13 @@
     pub fn receive_list(&mut self, kind: ListKind, entries: &[(&str, i64, NodeCondition, f64)]) -> &mut Self {
         let entries: Vec<_> = entries
             .iter()
-            .map(|entry| (node(entry.0), BlockId(entry.1), entry.2, entry.3, self.size))
+            .map(|(name, block, condition, started)| ListedNode {
+                node_id: node(name),
+                block: BlockId(*block),
+                condition: *condition,
+                started: *started,
+                size: self.size,
+            })
             .collect();
         self.scheduler.node_list_received(self.actions.now, kind, &entries, &mut self.actions);
         self
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -307,7 +307,13 @@
     fn entry(&self, block: usize) -> ListedNode {
         let (incarnation, started) =
             if block == WATCHED_BLOCK && self.replaced { (1, RESTART_AT) } else { (0, 0.0) };
-        (node(&format!("n{block}.{incarnation}")), BlockId(block as i64), NodeCondition::Ready, started, 1.0)
+        ListedNode {
+            node_id: node(&format!("n{block}.{incarnation}")),
+            block: BlockId(block as i64),
+            condition: NodeCondition::Ready,
+            started,
+            size: 1.0,
+        }
     }
 
     /// Starts a scheduler that knows all nodes.
