A repeat stays in the zone of its tag when its node is replaced

Change: ListedNode has a zone; a transaction keeps the zone of the first shot that may have run and is sent only there; it is scrapped at once if its block leaves the zone. Why it works: every send passes may_send_shot, at the moment of the send.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -56,6 +56,9 @@
     pub name: String,
     /// IP address and port.
     pub address: String,
+    /// Name of the zone; none where the site has no zones.
+    #[serde(default)]
+    pub zone: Option<String>,
     /// Number of the block that the node holds.
     #[serde(default)]
     pub group: i64,
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -782,6 +782,7 @@
             entries.push(ListedNode {
                 node_id: name,
                 block: BlockId(endpoint.group),
+                zone: endpoint.zone.as_deref().and_then(ZoneId::from_name),
                 condition,
                 started,
                 size: endpoint.weight,
--- a/crates/programs/tests/rig/discovery.rs
+++ b/crates/programs/tests/rig/discovery.rs
@@ -21,6 +21,11 @@
     json!({"index": index, "snapshot": true, "endpoints": nodes.iter().map(endpoint).collect::<Vec<_>>()})
 }
 
+/// Places the node at this position of a list in a zone.
+pub fn set_zone(list: &mut Value, position: usize, zone: &str) {
+    list["endpoints"][position]["zone"] = json!(zone);
+}
+
 /// A discovery server that sends its current list in response to a call and, after each change, on open watches.
 #[derive(Clone)]
 pub struct Discovery {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -11,7 +11,7 @@
 use quaypath::scheduler::Scheduler;
 use quaypath::types::{
     BandId, BlockId, ExtentId, LimitBalance, LimitId, ListKind, ListedNode, NodeCondition, NodeId, Outbox,
-    Outcome, PeerReport, PlanId, TransactionId, VolumeId,
+    Outcome, PeerReport, PlanId, TransactionId, VolumeId, ZoneId,
 };
 use quaypath_fleet::lending::{lender_hold, Ledger};
 use quaypath_fleet::signal::{NodeReport, SignalConfig, SignalHost, Signals};
@@ -374,6 +374,7 @@
     Ok(ListedNode {
         node_id: fields.node(0)?,
         block,
+        zone: fields.text(1).and_then(ZoneId::from_name),
         condition,
         started: fields.time(6, "StartTime")?,
         size: fields.time(5, "Scale")?,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -163,7 +163,7 @@
             let removed = self.nodes.values_mut().filter(|node| !listed.contains(&node.node_id.as_ref()));
             removed.for_each(|node| node.send_until = 0.0);
         }
-        for ListedNode { node_id, block, condition, started, size } in entries {
+        for ListedNode { node_id, block, zone, condition, started, size } in entries {
             let same_node = self.nodes.get(block).is_some_and(|node| node.node_id.as_ref() == Some(node_id));
             if *condition != NodeCondition::Ready {
                 let still_served = kind == ListKind::Changes && *condition == NodeCondition::Draining;
@@ -216,10 +216,22 @@
             }
             let node = self.node_state(*block);
             (node.send_until, node.size) = (f64::INFINITY, if *size > 0.0 { *size } else { 1.0 });
+            if node.zone != *zone {
+                node.zone = zone.clone();
+                self.give_up_unrepeatable(now, *block, outbox);
+            }
             self.dispatch(now, *block, outbox);
         }
     }
 
+    /// Gives up the transactions that wait for a further shot at this node although none is allowed there any more.
+    fn give_up_unrepeatable(&mut self, now: f64, block: BlockId, outbox: &mut impl Outbox) {
+        let waiting = self.nodes[&block].retry_queue.iter().copied();
+        let unrepeatable: Vec<_> =
+            waiting.filter(|id| !self.may_repeat(now, &self.transactions[id])).collect();
+        unrepeatable.into_iter().for_each(|id| self.give_up(now, id, outbox));
+    }
+
     /// A client sent a transaction. `initiators` is the number of initiators that its volume comes through,
     /// `budget` the time up to its outer limit in seconds; without a `block` it writes a new object, which any node
     /// may store.
@@ -294,7 +306,8 @@
         let Some(transaction) = self.transactions.get_mut(&id) else { return };
         transaction.shot_in_flight = false;
         if !matches!(outcome, Outcome::QueueFull | Outcome::Unreachable | Outcome::Abandoned) {
-            transaction.may_have_run_since.get_or_insert(transaction.sent_at);
+            let (sent_at, zone) = (transaction.sent_at, transaction.sent_to_zone.take());
+            transaction.possible_run.get_or_insert(PossibleRun { sent_at, zone });
         }
         let (block, finished) = (transaction.block, transaction.state == State::Finished);
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
@@ -322,7 +335,7 @@
             self.finish(now, id, outbox);
         } else if self.may_send_shot(now, id) && now < self.transactions[&id].give_up_at {
             let transaction = &self.transactions[&id];
-            let block = if transaction.movable && transaction.may_have_run_since.is_none() {
+            let block = if transaction.movable && transaction.possible_run.is_none() {
                 self.place_new_object(now, transaction.units)
             } else {
                 transaction.block
@@ -719,6 +732,7 @@
         }
         (transaction.estimate, transaction.sent_at, transaction.node_was_idle, transaction.shot_in_flight) =
             (estimate, now, node.in_flight == 0.0, true);
+        transaction.sent_to_zone = node.zone.clone();
         node.silent_since = if node.in_flight == 0.0 { now } else { node.silent_since };
         node.in_flight += 1.0;
         let expected = estimate * node.delays.mean(now, 1.0);
@@ -881,7 +895,7 @@
         let repeat_harmless =
             matches!((repeat, dedup_scope), (Repeat::Repeatable, _) | (Repeat::Tagged, DedupScope::All));
         let safe_to_repeat =
-            !transaction.shot_in_flight && (transaction.may_have_run_since.is_none() || repeat_harmless);
+            !transaction.shot_in_flight && (transaction.possible_run.is_none() || repeat_harmless);
         if safe_to_repeat {
             let retry_after = if self.settings.advises_retry { self.settings.max_retry_after } else { 0.0 };
             outbox.decline(id, retry_after);
@@ -920,13 +934,7 @@
         if transaction.shots == 0 {
             return true;
         }
-        let band = &self.settings.bands[transaction.band.0];
-        let may_repeat = match (band.repeat, transaction.may_have_run_since) {
-            (_, None) | (Repeat::Repeatable, _) => true,
-            (Repeat::OnceOnly, _) => false,
-            // A repeat goes to the same block and so to the same cell, the smallest scope.
-            (Repeat::Tagged, Some(sent_at)) => now < sent_at + band.dedup_window,
-        };
+        let may_repeat = self.may_repeat(now, transaction);
         let (share, free_retries, _) = self.settings.retry_budget.unwrap_or((0.0, f64::INFINITY, 0.0));
         let within_budget = self.retries.sum(now) + 1.0 <= free_retries + share * self.received.sum(now);
         may_repeat
@@ -935,6 +943,24 @@
             && transaction.shots < self.settings.max_shots
     }
 
+    /// Whether a further shot at the node of this transaction's block cannot take effect twice: no earlier shot may
+    /// have run, or the node recognises and drops the repeat.
+    fn may_repeat(&self, now: f64, transaction: &Transaction) -> bool {
+        let Some(first_run) = &transaction.possible_run else { return true };
+        let band = &self.settings.bands[transaction.band.0];
+        let in_scope = match band.dedup_scope {
+            // Whichever node holds the block, it is the same cell.
+            DedupScope::All | DedupScope::Cell => true,
+            // The block may have moved to another zone meanwhile.
+            DedupScope::Zone => self.nodes[&transaction.block].zone == first_run.zone,
+        };
+        match band.repeat {
+            Repeat::Repeatable => true,
+            Repeat::OnceOnly => false,
+            Repeat::Tagged => in_scope && now < first_run.sent_at + band.dedup_window,
+        }
+    }
+
     /// When this transaction may be sent by the rules on key order, limits and cold nodes; infinity if another
     /// transaction on its key has to end first.
     fn earliest_send(&mut self, now: f64, id: TransactionId) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,12 @@
     Finished,
 }
 
+/// A shot that may have run: when it was sent, and the zone of its node.
+pub struct PossibleRun {
+    pub sent_at: f64,
+    pub zone: Option<ZoneId>,
+}
+
 /// A transaction that was received and not yet forgotten.
 #[derive(Default)]
 pub struct Transaction {
@@ -40,6 +46,8 @@
     pub shots: u32,
     pub shot_in_flight: bool,
     pub sent_at: f64,
+    /// The zone of the node that the last shot was sent to.
+    pub sent_to_zone: Option<ZoneId>,
     /// When the shot in flight is overdue and releases its credit (its place among the shots at the node); infinity
     /// once it has released it.
     pub overdue_at: f64,
@@ -47,14 +55,15 @@
     pub node_was_idle: bool,
     /// Estimated node time, seconds.
     pub estimate: f64,
-    /// When the first shot that may have run was sent.
-    pub may_have_run_since: Option<f64>,
+    /// The first shot that may have run.
+    pub possible_run: Option<PossibleRun>,
 }
 
 /// What is known of the node that holds one block, and the transactions that wait for it.
 #[derive(Default)]
 pub struct NodeState {
     pub node_id: Option<NodeId>,
+    pub zone: Option<ZoneId>,
     /// Up to when shots may be sent to it: infinity while it is ready.
     pub send_until: f64,
     pub started: f64,
--- a/src/types.rs
+++ b/src/types.rs
@@ -17,6 +17,17 @@
 /// The block of data that a node holds. A node that replaces another one holds the same block.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BlockId(pub i64);
+/// A zone: a part of the site, such as a hall, whose nodes recognise each other's tags.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub Arc<str>);
+
+impl ZoneId {
+    /// The zone of this name; none if the name is empty, as where the register knows no zones.
+    pub fn from_name(name: &str) -> Option<ZoneId> {
+        (!name.is_empty()).then(|| ZoneId(name.into()))
+    }
+}
+
 /// Index of a band in [`Settings::bands`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BandId(pub usize);
@@ -120,6 +131,8 @@
 pub struct ListedNode {
     pub node_id: NodeId,
     pub block: BlockId,
+    /// Its zone; none if the register knows no zones.
+    pub zone: Option<ZoneId>,
     pub condition: NodeCondition,
     /// The clock time at which it started, seconds; 0 if that was long ago.
     pub started: f64,
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -82,6 +82,70 @@
     }
 }
 
+/// How the nodes of a block change between a shot and its outcome.
+#[derive(Clone, Copy, PartialEq)]
+enum Replacement {
+    BeforeOutcome,
+    AfterOutcome,
+}
+use Replacement::*;
+
+// Guards against a double effect: a repeat was sent to the node that replaced the first one in another zone, where its
+// tag is not recognised. Repeats within the scope still go out.
+#[test_case(DedupScope::Zone, "hall-b", Reset, BeforeOutcome, "scrap 1" ; "zone, replaced in another zone")]
+#[test_case(DedupScope::Zone, "hall-b", Reset, AfterOutcome, "scrap 1" ; "zone, replaced in another zone while it waits")]
+#[test_case(DedupScope::Zone, "hall-a", Reset, BeforeOutcome, "send 1 b" ; "zone, replaced in the same zone")]
+#[test_case(DedupScope::Zone, "hall-a", Reset, AfterOutcome, "send 1 b" ; "zone, replaced in the same zone while it waits")]
+#[test_case(DedupScope::Zone, "", Reset, BeforeOutcome, "scrap 1" ; "zone, replaced in an unknown zone")]
+#[test_case(DedupScope::Zone, "hall-b", Unreachable, BeforeOutcome, "send 1 b" ; "zone, nothing can have run")]
+#[test_case(DedupScope::Zone, "hall-b", Unreachable, AfterOutcome, "send 1 b" ; "zone, nothing can have run, while it waits")]
+#[test_case(DedupScope::Cell, "hall-b", Reset, BeforeOutcome, "send 1 b" ; "cell, replaced in another zone")]
+#[test_case(DedupScope::All, "hall-b", Reset, AfterOutcome, "send 1 b" ; "all, replaced in another zone")]
+fn the_action_after_the_node_was_replaced(
+    dedup_scope: DedupScope, zone: &'static str, outcome: Outcome, replacement: Replacement, next: &str,
+) {
+    let mut settings = settings();
+    settings.bands[3].dedup_scope = dedup_scope;
+    let mut initiator = TestInitiator::new(100.0, settings);
+    initiator.zone = Some("hall-a");
+    initiator.add_node("a", 1).receive(1, 3, 1, 2.0, Some(1)).take_actions();
+    initiator.set_time(100.02).receive_list(Changes, &[("a", 1, Removed, 0.0)]);
+    initiator.zone = Some(zone);
+    if replacement == AfterOutcome {
+        initiator.complete(1, "a", outcome);
+        assert!(initiator.take_actions().is_empty());
+    }
+    initiator.add_node("b", 1);
+    if replacement == BeforeOutcome {
+        initiator.complete(1, "a", outcome);
+    }
+    let answered_at_once = initiator.take_actions();
+    if next.starts_with("scrap") {
+        assert_eq!(answered_at_once, [next]);
+    } else {
+        assert_eq!([answered_at_once, initiator.run_until(100.3).take_actions()].concat(), [next]);
+    }
+}
+
+// The group of a repeat is that of the first shot that may have run, wherever later ones were sent.
+#[test]
+fn a_repeat_returns_to_the_zone_in_which_it_may_have_run() {
+    let mut settings = Settings { max_shots: 6, ..settings() };
+    settings.bands[3].dedup_scope = DedupScope::Zone;
+    let mut initiator = TestInitiator::new(100.0, settings);
+    initiator.zone = Some("hall-a");
+    initiator.add_node("a", 1).receive(1, 3, 1, 2.0, Some(1)).set_time(100.01).complete(1, "a", Unreachable);
+    initiator.zone = Some("hall-b");
+    initiator.add_node("b", 1).run_until(100.1);
+    assert_eq!(initiator.take_actions().last().unwrap(), "send 1 b");
+    initiator.complete(1, "b", Failed);
+    initiator.run_until(100.2);
+    assert_eq!(initiator.take_actions(), ["send 1 b"]);
+    initiator.zone = Some("hall-a");
+    initiator.add_node("d", 1).complete(1, "b", Failed);
+    assert_eq!(initiator.take_actions(), ["scrap 1"]);
+}
+
 // Rule 3: draining nodes. No other node holds the block for some seconds, and the draining node still serves, so
 // shots are sent to it within a part of the grace.
 #[test_case(Changes, Draining, 1.1, 1 ; "within the part of the grace")]
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -110,6 +110,8 @@
     pub others: f64,
     /// Size of the nodes that are listed; 0: not reported.
     pub size: f64,
+    /// Zone of the nodes that are listed.
+    pub zone: Option<&'static str>,
     /// Load report in each answer.
     pub report: Vec<f64>,
 }
@@ -134,6 +136,7 @@
             used: 1.0,
             others: 0.0,
             size: 0.0,
+            zone: None,
             report: Vec::new(),
         }
     }
@@ -150,6 +153,7 @@
             .map(|(name, block, condition, started)| ListedNode {
                 node_id: node(name),
                 block: BlockId(*block),
+                zone: self.zone.and_then(ZoneId::from_name),
                 condition: *condition,
                 started: *started,
                 size: self.size,
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -310,6 +310,7 @@
         ListedNode {
             node_id: node(&format!("n{block}.{incarnation}")),
             block: BlockId(block as i64),
+            zone: None,
             condition: NodeCondition::Ready,
             started,
             size: 1.0,
