--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,10 +4,13 @@
 
 #![allow(clippy::too_many_arguments)] // events are passed as plain arguments
 
+mod cold_start;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use nanorand::{Rng, WyRand};
 
+use self::cold_start::RATE_SECONDS;
 use crate::sliding_window::SlidingWindow;
 use crate::state::*;
 use crate::token_bucket::TokenBucket;
@@ -37,12 +40,6 @@
 const MOVABLE_LATENCY_FACTOR: f64 = 2.0;
 /// Seconds over which the usage of volumes is compared.
 const USAGE_SECONDS: f64 = 3.0;
-/// Seconds over which the units settled at a node are averaged. In a large fleet one initiator sends a node one
-/// transaction in ten seconds.
-const RATE_SECONDS: f64 = 20.0;
-/// Minimum number of these seconds for an initiator that started less than RATE_SECONDS ago, as a short burst is not
-/// a sustained rate.
-const MIN_RATE_SECONDS: f64 = 10.0;
 /// Weight of an answer that a peer reports: the report is late and may be wrong.
 const PEER_ANSWER_WEIGHT: f64 = 0.5;
 /// Number of answers that a wider measure counts as where a narrower one has few.
@@ -51,13 +48,6 @@
 const LOST_ANSWERS_SHARE: f64 = 0.1;
 /// Multiple of the expected latency after which a shot is overdue.
 const OVERDUE_LATENCIES: f64 = 4.0;
-/// Part of a cold node's budget that is claimed by the rate settled before its start; the remaining part is a
-/// margin for random variation.
-const EARLIER_RATE_SHARE: f64 = 0.85;
-/// Largest demand for a node that cold starts allow for, as a multiple of what the node serves once warm.
-const MAX_DEMAND: f64 = 2.5;
-/// Standard deviations by which a node may have more initiators than the mean node.
-const INITIATOR_DEVIATIONS: f64 = 3.0;
 /// Part of the drain grace in which shots are still sent to a draining node; the remaining part allows for list
 /// updates that take long to arrive.
 const DRAIN_GRACE_SHARE: f64 = 0.6;
@@ -168,7 +158,8 @@
             let removed = self.nodes.values_mut().filter(|node| !listed.contains(&node.node_id.as_ref()));
             removed.for_each(|node| node.send_until = 0.0);
         }
-        for ListedNode { node_id, block, zone, condition, started, size } in entries {
+        for entry in entries {
+            let ListedNode { node_id, block, zone, condition, started, size } = entry;
             let same_node = self.nodes.get(block).is_some_and(|node| node.node_id.as_ref() == Some(node_id));
             if *condition != NodeCondition::Ready {
                 let still_served = kind == ListKind::Changes && *condition == NodeCondition::Draining;
@@ -180,46 +171,7 @@
                 continue;
             }
             if !same_node || self.nodes[block].started != *started {
-                let previous = self.nodes.remove(block).unwrap_or_default();
-                let NodeState {
-                    volume_queues,
-                    retry_queue,
-                    in_flight,
-                    max_volume_initiators,
-                    requested_units,
-                    warm_units_at,
-                    ..
-                } = previous;
-                // A replacement that is listed as smaller serves proportionally less.
-                let smaller = *size > 0.0 && previous.size > 0.0;
-                let warm_units =
-                    previous.warm_units * if smaller { (size / previous.size).min(1.0) } else { 1.0 };
-                let (node_id, started, in_flight) =
-                    (Some(node_id.clone()), *started, if same_node { in_flight } else { 0.0 });
-                let moved_away = self
-                    .transactions
-                    .values_mut()
-                    .filter(|transaction| !same_node && transaction.block == *block);
-                // Shots in flight at the previous node hold no credit at the new one.
-                moved_away.for_each(|transaction| transaction.overdue_at = f64::INFINITY);
-                let warms_up = started > 0.0 && self.settings.overload_window > 0.0;
-                let warm_at = if warms_up {
-                    started + self.settings.warm_up + self.settings.overload_window
-                } else {
-                    0.0
-                };
-                let fresh = NodeState { warm_at, warm_units, warm_units_at, ..self.new_node_state() };
-                let node = NodeState {
-                    node_id,
-                    started,
-                    volume_queues,
-                    retry_queue,
-                    in_flight,
-                    max_volume_initiators,
-                    requested_units,
-                    ..fresh
-                };
-                self.nodes.insert(*block, node);
+                self.replace_node(entry, same_node);
             }
             let node = self.node_state(*block);
             (node.send_until, node.size) = (f64::INFINITY, if *size > 0.0 { *size } else { 1.0 });
@@ -231,6 +183,37 @@
         }
     }
 
+    /// Starts the state of a node that was replaced or, if it is the `same_node`, restarted. Kept are what waits for the
+    /// block, what is known of the demand for it, and what the previous node settled.
+    fn replace_node(&mut self, entry: &ListedNode, same_node: bool) {
+        let previous = self.nodes.remove(&entry.block).unwrap_or_default();
+        if !same_node {
+            let moved_away =
+                self.transactions.values_mut().filter(|transaction| transaction.block == entry.block);
+            // Shots in flight at the previous node hold no credit at the new one.
+            moved_away.for_each(|transaction| transaction.overdue_at = f64::INFINITY);
+        }
+        // A replacement that is listed as smaller serves proportionally less.
+        let smaller = entry.size > 0.0 && previous.size > 0.0;
+        let size_factor = if smaller { (entry.size / previous.size).min(1.0) } else { 1.0 };
+        let warms_up = entry.started > 0.0 && self.settings.overload_window > 0.0;
+        let warm_up_time = self.settings.warm_up + self.settings.overload_window;
+        let node = NodeState {
+            node_id: Some(entry.node_id.clone()),
+            started: entry.started,
+            warm_at: if warms_up { entry.started + warm_up_time } else { 0.0 },
+            volume_queues: previous.volume_queues,
+            retry_queue: previous.retry_queue,
+            in_flight: if same_node { previous.in_flight } else { 0.0 },
+            max_volume_initiators: previous.max_volume_initiators,
+            requested_units: previous.requested_units,
+            warm_units: previous.warm_units * size_factor,
+            warm_units_at: previous.warm_units_at,
+            ..self.new_node_state()
+        };
+        self.nodes.insert(entry.block, node);
+    }
+
     /// Gives up the transactions that wait for a further shot at this node although none is allowed there any more.
     fn give_up_unrepeatable(&mut self, now: f64, block: BlockId, outbox: &mut impl Outbox) {
         let waiting = self.nodes[&block].retry_queue.iter().copied();
@@ -996,79 +979,6 @@
         now
     }
 
-    fn is_cold(&self, now: f64, block: BlockId) -> bool {
-        self.nodes.get(&block).is_some_and(|node| now < node.warm_at)
-    }
-
-    /// Estimates the maximum number of initiators that send to one node. By symmetry, the part of the initiators
-    /// that use a node equals the part of the nodes that this initiator uses. Nodes not requested yet are estimated
-    /// from those requested only once (Good-Turing). The result is at least the number of initiators of any volume
-    /// at the node.
-    fn max_initiators(&self, block: BlockId) -> f64 {
-        let requests = || self.requests_per_block.values().filter(|requests| **requests >= 1.0);
-        let (total, once) =
-            (requests().sum::<f64>(), requests().filter(|requests| **requests < 2.0).sum::<f64>());
-        let used_nodes = (total - once) / total.max(1.0) * self.nodes.len() as f64;
-        let mean = (requests().count() as f64).max(1.0) / used_nodes.max(1e-9) * self.settings.initiators;
-        (mean + INITIATOR_DEVIATIONS * mean.sqrt())
-            .max(self.nodes[&block].max_volume_initiators)
-            .min(self.settings.initiators)
-    }
-
-    /// Whether a cold node can take these units within the overload window. A budget smaller than a mean transaction
-    /// is saved up until it covers one, from a random initial level, so that the initiators do not send all at
-    /// once.
-    fn cold_start_admits(&mut self, now: f64, block: BlockId, units: f64) -> bool {
-        let (mean_units, window) = (self.settings.mean_units, self.settings.overload_window);
-        let budget = self.cold_start_budget(now, block);
-        let random_part = self.rng.generate::<f64>();
-        let node = self.nodes.get_mut(&block).unwrap();
-        let (savings, saved_at) = node.cold_start_savings.unwrap_or((random_part * mean_units, now));
-        let savings = (savings + budget * (now - saved_at) / window).min(units.max(mean_units));
-        node.cold_start_savings = Some((savings, now));
-        now >= self.started + window
-            && (budget - node.cold_start_sent.sum(now) >= units
-                || (budget < mean_units && savings >= units.max(mean_units)))
-    }
-
-    /// The units that this initiator may send to a cold node within the overload window. It is a part of what the
-    /// node serves just after its start or, if larger, a part of the rate that the previous node settled for this
-    /// initiator; it grows as the slowest node warms up.
-    fn cold_start_budget(&mut self, now: f64, block: BlockId) -> f64 {
-        let start_capacity = self.settings.start_capacity.clamp(0.01, 1.0);
-        let warm_up = self.settings.warm_up.max(0.01);
-        let window = self.settings.overload_window;
-        let start_part = self.cold_start_part(now, block);
-        let node = &self.nodes[&block];
-        // Other initiators may have taken over work that this one had long before the start of the node.
-        let age_discount = 2.0 * RATE_SECONDS / (node.started - node.warm_units_at).max(2.0 * RATE_SECONDS);
-        let earlier_rate = node.warm_units / self.observed_seconds(node.started) * age_discount;
-        let earlier_part = EARLIER_RATE_SHARE * self.settings.overload_multiple * earlier_rate * window;
-        let age = (now - node.started - window).clamp(0.0, warm_up);
-        let warmth = start_capacity + (1.0 - start_capacity) * age / warm_up;
-        (start_part / start_capacity).max(earlier_part) * warmth
-    }
-
-    /// This initiator's part of the units that a node serves within the overload window just after its start: an even
-    /// part among the initiators that are likely to use it. That number is a guess, which is too low where most of
-    /// the fleet uses one node. The part is therefore limited to a share of the demand for the node that is seen here:
-    /// these shares add up to no more than the node serves, however many initiators use it. An even part among all
-    /// initiators is safe in any case.
-    fn cold_start_part(&mut self, now: f64, block: BlockId) -> f64 {
-        let start_units = self.settings.cold_start_units.max(self.settings.mean_units);
-        let likely_part = start_units / self.max_initiators(block);
-        let demand = self.node_state(block).requested_units.sum(now) / self.observed_seconds(now);
-        let served_share = self.settings.overload_multiple * self.settings.start_capacity / MAX_DEMAND;
-        let demand_part = served_share * demand * self.settings.overload_window;
-        let even_part = start_units / self.settings.initiators;
-        likely_part.min(demand_part).max(even_part)
-    }
-
-    /// The part of the last RATE_SECONDS before `time` in which this process ran.
-    fn observed_seconds(&self, time: f64) -> f64 {
-        (time - self.started).clamp(MIN_RATE_SECONDS, RATE_SECONDS)
-    }
-
     /// A random factor from 0.75 to 1.25.
     fn jitter(&mut self) -> f64 {
         0.75 + 0.5 * self.rng.generate::<f64>()
