Ramp: one capacity of a node, and volumes built only as the case needs them

Read again: the cases with volumes of their own built the shared ones first and threw them away, and run_case wrote the capacity formula of Fleet a second time. Both kinds of volumes are functions now.

--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -62,6 +62,13 @@
     late_arrivals: bool,
 }
 
+impl Case {
+    /// Capacity of a warm node, transactions of mean size per second.
+    fn capacity(&self) -> f64 {
+        self.start_transactions / (OVERLOAD_MULTIPLE * START_CAPACITY * OVERLOAD_WINDOW)
+    }
+}
+
 const BASE_CASE: Case = Case {
     initiators: 30,
     start_transactions: 4.0,
@@ -183,6 +190,50 @@
     all
 }
 
+/// Volumes on several nodes and through several initiators, as the case describes them.
+fn shared_volumes(case: &Case, rng: &mut WyRand) -> Vec<Volume> {
+    let count = (case.volumes_per_node * case.nodes / NODES_PER_VOLUME).max(1);
+    let weights = power_law_shares(rng, count, case.skew);
+    let mut volumes: Vec<Volume> = (0..count)
+        .map(|number| {
+            let max = case.max_volume_initiators.min(case.initiators);
+            let initiator_count = rng.generate_range(1..=max);
+            let shares = [(); 2].map(|()| power_law_shares(rng, initiator_count, case.skew));
+            // Each node has some volumes, however few there are.
+            let mut blocks = choose(rng, case.nodes, NODES_PER_VOLUME);
+            blocks.retain(|block| *block != number % case.nodes);
+            blocks.truncate(NODES_PER_VOLUME - 1);
+            blocks.push(number % case.nodes);
+            Volume {
+                blocks,
+                initiators: choose(rng, case.initiators, initiator_count),
+                weight: weights[number],
+                shares,
+            }
+        })
+        .collect();
+    for _ in 0..case.extra_volumes {
+        let initiator_count = rng.generate_range(1..=case.max_volume_initiators.min(case.initiators));
+        let shares = [(); 2].map(|()| power_law_shares(rng, initiator_count, case.skew));
+        let initiators = choose(rng, case.initiators, initiator_count);
+        volumes.push(Volume { blocks: vec![WATCHED_BLOCK], initiators, weight: 1.0 / count as f64, shares });
+    }
+    if case.hot_share > 0.0 {
+        let shares = [(); 2].map(|()| power_law_shares(rng, case.initiators, case.skew));
+        let at_watched = |volume: &&Volume| volume.blocks.contains(&WATCHED_BLOCK);
+        let others: f64 =
+            volumes.iter().filter(at_watched).map(|volume| volume.weight / volume.blocks.len() as f64).sum();
+        let weight = others * case.hot_share / (1.0 - case.hot_share).max(1e-3);
+        volumes.push(Volume {
+            blocks: vec![WATCHED_BLOCK],
+            initiators: (0..case.initiators).collect(),
+            weight,
+            shares,
+        });
+    }
+    volumes
+}
+
 /// A volume of its own for each initiator at one of the nodes that are not watched, and for the first `users` of them one
 /// at the watched node, with two and a half times the demand.
 fn private_volumes(case: &Case, users: usize) -> Vec<Volume> {
@@ -218,56 +269,10 @@
 
     fn new(case: Case, stated_initiators: usize, seed: u64) -> Fleet {
         let mut rng = WyRand::new_seed(seed);
-        let count = (case.volumes_per_node * case.nodes / NODES_PER_VOLUME).max(1);
-        let weights = power_law_shares(&mut rng, count, case.skew);
-        let mut volumes: Vec<Volume> = (0..count)
-            .map(|number| {
-                let max = case.max_volume_initiators.min(case.initiators);
-                let initiator_count = rng.generate_range(1..=max);
-                let shares = [(); 2].map(|()| power_law_shares(&mut rng, initiator_count, case.skew));
-                // Each node has some volumes, however few there are.
-                let mut blocks = choose(&mut rng, case.nodes, NODES_PER_VOLUME);
-                blocks.retain(|block| *block != number % case.nodes);
-                blocks.truncate(NODES_PER_VOLUME - 1);
-                blocks.push(number % case.nodes);
-                Volume {
-                    blocks,
-                    initiators: choose(&mut rng, case.initiators, initiator_count),
-                    weight: weights[number],
-                    shares,
-                }
-            })
-            .collect();
-        for _ in 0..case.extra_volumes {
-            let initiator_count = rng.generate_range(1..=case.max_volume_initiators.min(case.initiators));
-            let shares = [(); 2].map(|()| power_law_shares(&mut rng, initiator_count, case.skew));
-            let initiators = choose(&mut rng, case.initiators, initiator_count);
-            volumes.push(Volume {
-                blocks: vec![WATCHED_BLOCK],
-                initiators,
-                weight: 1.0 / count as f64,
-                shares,
-            });
-        }
-        if case.hot_share > 0.0 {
-            let shares = [(); 2].map(|()| power_law_shares(&mut rng, case.initiators, case.skew));
-            let at_watched = |volume: &&Volume| volume.blocks.contains(&WATCHED_BLOCK);
-            let others: f64 = volumes
-                .iter()
-                .filter(at_watched)
-                .map(|volume| volume.weight / volume.blocks.len() as f64)
-                .sum();
-            let weight = others * case.hot_share / (1.0 - case.hot_share).max(1e-3);
-            volumes.push(Volume {
-                blocks: vec![WATCHED_BLOCK],
-                initiators: (0..case.initiators).collect(),
-                weight,
-                shares,
-            });
-        }
-        if let Some(users) = case.watched_users {
-            volumes = private_volumes(&case, users);
-        }
+        let volumes = match case.watched_users {
+            Some(users) => private_volumes(&case, users),
+            None => shared_volumes(&case, &mut rng),
+        };
         let mut fleet = Fleet {
             case,
             stated_initiators,
@@ -293,11 +298,6 @@
         fleet
     }
 
-    /// Capacity of a warm node, transactions of mean size per second.
-    fn capacity(&self) -> f64 {
-        self.case.start_transactions / (OVERLOAD_MULTIPLE * START_CAPACITY * OVERLOAD_WINDOW)
-    }
-
     /// Computes the demand at each initiator by the weights of the volumes and the shares of their initiators.
     fn distribute_demand(&mut self) {
         let at_watched = |volume: &&Volume| volume.blocks.contains(&WATCHED_BLOCK);
@@ -308,7 +308,7 @@
             .map(|volume| volume.weight / volume.blocks.len() as f64)
             .sum();
         for (phase, load) in [self.case.load.min(0.9), self.case.load].into_iter().enumerate() {
-            let rate = load * self.capacity() / watched;
+            let rate = load * self.case.capacity() / watched;
             for (number, volume) in self.volumes.iter().enumerate() {
                 let shares = &volume.shares[if self.case.demand_moves { phase } else { 0 }];
                 for (initiator, share) in volume.initiators.iter().zip(shares) {
@@ -526,8 +526,7 @@
         overloads += usize::from(excess > 1.0);
         sent += arrived / seeds as f64;
     }
-    let capacity = case.start_transactions / (OVERLOAD_MULTIPLE * START_CAPACITY * OVERLOAD_WINDOW);
-    let sent_share = sent / (case.load * capacity * (WARM_UP - case.quiet_time));
+    let sent_share = sent / (case.load * case.capacity() * (WARM_UP - case.quiet_time));
     println!("{case:?}: worst {worst:.2}, overloaded in {overloads} of {seeds}, {sent_share:.2} of the demand sent");
     CaseResult { worst, sent_share }
 }
@@ -590,11 +589,11 @@
 #[test_case(Case { initiators: 300, nodes: 40, watched_users: Some(300), ..ALL_AT_ONE }; "three hundred at one node")]
 #[test_case(Case { initiators: 300, nodes: 40, watched_users: Some(300), initiators_restarted: Some(5.0), ..ALL_AT_ONE }; "three hundred at one node, all just up")]
 fn the_sum_of_all_stays_within_what_a_cold_node_bears(case: Case) {
-    // To run more seeds: RAMP_SEEDS=100 cargo test --release --test ramp -- --nocapture
     let worst = run_case(case, case.initiators, seed_count()).worst;
     assert!(worst <= 1.0, "{worst}");
 }
 
+/// The number of seeds for each case. To run more: RAMP_SEEDS=100 cargo test --release --test ramp -- --nocapture
 fn seed_count() -> u64 {
     std::env::var("RAMP_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(4)
 }
