Slow start: the parts by demand and by settled units share one formula

Read again: both are multiple x rate x window, and the cold capacity that one was multiplied by was divided out again, with a clamp on one side only.

--- a/src/scheduler/cold_start.rs
+++ b/src/scheduler/cold_start.rs
@@ -58,39 +58,42 @@
                 || (budget < mean_units && savings >= units.max(mean_units)))
     }
 
-    /// The units that this initiator may send to a cold node within the overload window. It is a part of what the
-    /// node serves just after its start or, if larger, a part of the rate that the previous node settled for this
-    /// initiator; it grows as the slowest node warms up.
+    /// The units that this initiator may send to a cold node within the overload window. It is a part that depends on
+    /// the initiators and the demand or, if larger, a part of the rate that the previous node settled for this
+    /// initiator. Both are parts of what a warm node takes; the budget grows as the slowest node warms up.
     fn cold_start_budget(&mut self, now: f64, block: BlockId) -> f64 {
         let start_capacity = self.settings.start_capacity.clamp(0.01, 1.0);
         let warm_up = self.settings.warm_up.max(0.01);
-        let window = self.settings.overload_window;
-        let start_part = self.cold_start_part(now, block);
+        let node_units = self.settings.cold_start_units.max(self.settings.mean_units) / start_capacity;
+        let shared_part = self.shared_part(now, block, node_units);
         let node = &self.nodes[&block];
         // Other initiators may have taken over work that this one had long before the start of the node.
         let age_discount = 2.0 * RATE_SECONDS / (node.started - node.warm_units_at).max(2.0 * RATE_SECONDS);
         let earlier_rate = node.warm_units / self.observed_seconds(node.started) * age_discount;
-        let earlier_part = EARLIER_RATE_SHARE * self.settings.overload_multiple * earlier_rate * window;
-        let age = (now - node.started - window).clamp(0.0, warm_up);
+        let earlier_part = self.overload_units(EARLIER_RATE_SHARE * earlier_rate);
+        let age = (now - node.started - self.settings.overload_window).clamp(0.0, warm_up);
         let warmth = start_capacity + (1.0 - start_capacity) * age / warm_up;
-        (start_part / start_capacity).max(earlier_part) * warmth
+        shared_part.max(earlier_part) * warmth
     }
 
-    /// This initiator's part of the units that a node serves within the overload window just after its start: an even
-    /// part among the initiators that are likely to use it. That number is a guess, which is too low where most of
-    /// the fleet uses one node. The part is therefore limited to a share of the demand for the node that is seen here:
-    /// these shares add up to no more than the node serves, however many initiators use it. An even part among all
-    /// initiators is safe in any case.
-    fn cold_start_part(&mut self, now: f64, block: BlockId) -> f64 {
-        let start_units = self.settings.cold_start_units.max(self.settings.mean_units);
-        let likely_part = start_units / self.max_initiators(block);
+    /// This initiator's part of the units that a node takes within the overload window: an even part among the
+    /// initiators that are likely to use it. That number is a guess, which is too low where most of the fleet uses one
+    /// node. The part is therefore limited to a share of the demand for the node that is seen here: these shares add up
+    /// to no more than the node takes, however many initiators use it. An even part among all initiators is safe in any
+    /// case.
+    fn shared_part(&mut self, now: f64, block: BlockId, node_units: f64) -> f64 {
+        let likely_part = node_units / self.max_initiators(block);
         let demand = self.node_state(block).requested_units.sum(now) / self.observed_seconds(now);
-        let served_share = self.settings.overload_multiple * self.settings.start_capacity / MAX_DEMAND;
-        let demand_part = served_share * demand * self.settings.overload_window;
-        let even_part = start_units / self.settings.initiators;
+        let demand_part = self.overload_units(demand / MAX_DEMAND);
+        let even_part = node_units / self.settings.initiators;
         likely_part.min(demand_part).max(even_part)
     }
 
+    /// The units within the overload window above which a node that serves this rate is overloaded.
+    fn overload_units(&self, rate: f64) -> f64 {
+        self.settings.overload_multiple * rate * self.settings.overload_window
+    }
+
     /// The part of the last RATE_SECONDS before `time` in which this process ran.
     fn observed_seconds(&self, time: f64) -> f64 {
         (time - self.started).clamp(MIN_RATE_SECONDS, RATE_SECONDS)
