Memory held for clients and nodes is counted by kind and logged

The two budgets counted bodies only. Change: an account in a module of its own (crates/platform/src/memory.rs); each buffer, head, copy and body is counted by its capacity. The limits on bodies stay as they were.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -52,6 +52,12 @@
         Headers(parsed.iter().map(|header| (header.name.to_string(), header.value.to_vec())).collect())
     }
 
+    /// Memory that the headers hold, bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let texts: usize = self.0.iter().map(|(name, value)| name.capacity() + value.capacity()).sum();
+        texts + self.0.capacity() * std::mem::size_of::<(String, Vec<u8>)>()
+    }
+
     /// The raw values of all headers with this name.
     pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> + 'a {
         let has_name = move |header: &&(String, Vec<u8>)| header.0.eq_ignore_ascii_case(name);
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -52,6 +52,15 @@
         self.buffer.len()
     }
 
+    /// Memory that the decoder holds, without the body of the current request, bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let head = match &self.stage {
+            Stage::Body(request, _) => request.headers.memory_bytes(),
+            Stage::Head(_) => 0,
+        };
+        self.buffer.capacity() + head
+    }
+
     /// Whether a request has begun and is not complete.
     pub fn has_partial_request(&self) -> bool {
         !self.buffer.is_empty() || matches!(self.stage, Stage::Body(..))
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -59,6 +59,11 @@
         self.buffer.len()
     }
 
+    /// Memory that the decoder holds, bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns the next part if it is available. After an error or [`ResponsePart::End`] nothing more is decoded.
     pub fn poll(&mut self) -> Result<Option<ResponsePart>, DecodeError> {
         loop {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -13,7 +13,8 @@
 use quaypath_initiator::event_loop::{read_some, run_turn, try_read, with_timeout, Driver, Notify, Received};
 use quaypath_initiator::polls::yield_if_spent;
 
-use crate::instance::{MemoryPermit, SharedInstance, ShutdownStage, WeakInstance};
+use crate::instance::{SharedInstance, ShutdownStage, WeakInstance};
+use crate::memory::{MemoryAccount, MemoryKind, MemoryPermit};
 use crate::MAX_READ_BYTES;
 
 /// A request must be complete within this time from the opening of the connection or from its own first byte, seconds.
@@ -130,8 +131,11 @@
 pub async fn serve(
     instance: WeakInstance, number: u64, close_request: Rc<Notify>, stream: Rc<Async<TcpStream>>,
 ) {
+    let Some(memory) = instance.upgrade().map(|this| this.borrow().memory.clone()) else { return };
     let mut task = ClientTask {
         instance,
+        buffer_memory: memory.hold(MemoryKind::ReceiveBuffer, 0),
+        memory,
         number,
         close_request,
         stream,
@@ -151,7 +155,10 @@
     number: u64,
     close_request: Rc<Notify>,
     stream: Rc<Async<TcpStream>>,
+    memory: MemoryAccount,
     decoder: RequestDecoder,
+    /// Memory of the decoder.
+    buffer_memory: MemoryPermit,
     /// When bytes were received last, seconds; 0 before the first.
     last_received: f64,
 }
@@ -214,9 +221,14 @@
         let mut memory: Option<MemoryPermit> = None;
         let mut continue_sent = false;
         loop {
-            match self.decoder.poll() {
+            let decoded = self.decoder.poll();
+            self.buffer_memory.resize(self.decoder.memory_bytes());
+            match decoded {
                 Ok(Some(request)) => {
-                    let Some(memory) = memory.or_else(|| self.acquire_memory(request.body.len())) else {
+                    let body_length = request.body.len();
+                    let memory =
+                        memory.or_else(|| self.memory.try_hold(MemoryKind::RequestBody, body_length));
+                    let Some(memory) = memory else {
                         self.reject(503, "no room for a body").await?;
                         return Ok(None);
                     };
@@ -230,7 +242,7 @@
             }
             let announced = self.decoder.announced_body();
             if announced > 0 && memory.is_none() {
-                memory = self.acquire_memory(announced);
+                memory = self.memory.try_hold(MemoryKind::RequestBody, announced);
                 if memory.is_none() {
                     self.reject(503, "no room for a body").await?;
                     return Ok(None);
@@ -281,18 +293,16 @@
         Ok(true)
     }
 
-    fn acquire_memory(&self, bytes: usize) -> Option<MemoryPermit> {
-        let this = self.instance.upgrade()?;
-        let memory = this.borrow_mut().acquire_request_memory(bytes);
-        memory
-    }
-
     /// Waits for more bytes, a close request or the deadline.
     async fn wait_for_bytes(&mut self, deadline: Option<f64>) -> io::Result<WaitEnd> {
         let now = self.instance()?.borrow().clock_now();
-        let decoder = &mut self.decoder;
+        let (decoder, buffer_memory) = (&mut self.decoder, &mut self.buffer_memory);
+        let mut feed = |bytes: &[u8]| {
+            decoder.feed(bytes);
+            buffer_memory.resize(decoder.memory_bytes());
+        };
         let read = async {
-            match read_some(&self.stream, MAX_READ_BYTES, |bytes| decoder.feed(bytes)).await? {
+            match read_some(&self.stream, MAX_READ_BYTES, &mut feed).await? {
                 Received::Bytes(()) => Ok(WaitEnd::Bytes),
                 Received::End => Ok(WaitEnd::PeerClosed),
             }
@@ -330,7 +340,8 @@
             }
         };
         drop(this);
-        let (decoder, stream, mut overrun) = (&mut self.decoder, self.stream.clone(), false);
+        let (decoder, buffer_memory) = (&mut self.decoder, &mut self.buffer_memory);
+        let (stream, mut overrun) = (self.stream.clone(), false);
         let disconnected = async {
             // Bytes that arrive meanwhile belong to the next request. Beyond the length of a head they are discarded, and
             // the connection is closed after this answer: left in the kernel, they would hide that the client has
@@ -339,6 +350,7 @@
                 let room = MAX_HEAD_BYTES.saturating_sub(decoder.buffered());
                 let feed = |bytes: &[u8]| {
                     decoder.feed(&bytes[..bytes.len().min(room)]);
+                    buffer_memory.resize(decoder.memory_bytes());
                     bytes.len() > room
                 };
                 match read_some(&stream, MAX_READ_BYTES, feed).await {
@@ -362,7 +374,9 @@
                 let _ = try_read(self.stream.get_ref(), MAX_READ_BYTES, |bytes| decoder.feed(bytes));
                 !decoder.has_partial_request()
             };
-        self.write(&answer.encode(wants_close || close)).await?;
+        let encoded = answer.encode(wants_close || close);
+        let _memory = self.memory.hold(MemoryKind::Answer, encoded.capacity());
+        self.write(&encoded).await?;
         if close {
             self.close().await?;
         }
@@ -380,6 +394,7 @@
         // Nothing more is decoded of what the client sent, which may be much, and it is released at once, because many such
         // connections may be waiting for their close.
         self.decoder = RequestDecoder::default();
+        self.buffer_memory.resize(0);
         if let Some(this) = self.instance.upgrade() {
             this.borrow_mut().counts.rejected += 1;
         }
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -30,6 +30,7 @@
 };
 use crate::headers::{decode_transaction, encode_forwarded_head, NodeReport};
 use crate::idle_reuse::IdleReuse;
+use crate::memory::{MemoryAccount, MemoryKind, MemoryPermit, MemorySummary};
 use crate::outcome::{outcome, ShotEnd};
 use crate::replay_window::{HashedId, ReplayWindow};
 use crate::upstream::{self, Pool};
@@ -118,6 +119,8 @@
     pub volumes: usize,
     /// Ordering keys that the core keeps.
     pub keys: usize,
+    /// Memory held for clients and nodes by kind, bytes.
+    pub memory: MemorySummary,
     /// Open file descriptors of the process.
     pub descriptors: usize,
     /// Resident memory, KiB.
@@ -203,7 +206,7 @@
 pub struct ForwardedRequest {
     pub head: Vec<u8>,
     pub body: Vec<u8>,
-    _memory: MemoryPermit,
+    _memory: [MemoryPermit; 2],
 }
 
 /// A transaction without a final answer, or with a shot in flight.
@@ -237,50 +240,6 @@
     }
 }
 
-/// A memory budget: the bytes in use and the largest number of bytes that may be in use.
-#[derive(Clone)]
-pub struct MemoryBudget(Rc<(Cell<usize>, usize)>);
-
-impl MemoryBudget {
-    fn new(max_bytes: usize) -> Self {
-        MemoryBudget(Rc::new((Cell::new(0), max_bytes)))
-    }
-
-    /// Counts this many bytes as used, even beyond the budget.
-    pub fn acquire(&self, bytes: usize) -> MemoryPermit {
-        let (used, _) = &*self.0;
-        used.set(used.get() + bytes);
-        MemoryPermit(self.clone(), bytes)
-    }
-
-    fn available(&self) -> usize {
-        self.0 .1.saturating_sub(self.0 .0.get())
-    }
-}
-
-/// Bytes of a memory budget, which count as used until this is dropped.
-pub struct MemoryPermit(MemoryBudget, usize);
-
-impl MemoryPermit {
-    /// Adds this many bytes if the budget has them available, and returns whether it had.
-    pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let fits = bytes <= self.0.available();
-        if fits {
-            let (used, _) = &*self.0 .0;
-            used.set(used.get() + bytes);
-            self.1 += bytes;
-        }
-        fits
-    }
-}
-
-impl Drop for MemoryPermit {
-    fn drop(&mut self) {
-        let (used, _) = &*self.0 .0;
-        used.set(used.get() - self.1);
-    }
-}
-
 /// A listed node.
 pub struct Node {
     address: SocketAddr,
@@ -338,8 +297,7 @@
     pub upstream_connections: Rc<Cell<usize>>,
     pub max_upstream_connections: usize,
     pub idle_reuse: IdleReuse,
-    request_memory: MemoryBudget,
-    response_memory: MemoryBudget,
+    pub memory: MemoryAccount,
     /// The version of the node list.
     pub list_index: u64,
     /// The number of the discovery address that sent the list. Each new address has a higher number.
@@ -436,8 +394,10 @@
             upstream_connections: Rc::default(),
             max_upstream_connections: descriptors(NODE_SHARE).max(8),
             idle_reuse: IdleReuse::default(),
-            request_memory: MemoryBudget::new((memory * BODY_MEMORY_SHARE) as usize),
-            response_memory: MemoryBudget::new((memory * BODY_MEMORY_SHARE) as usize),
+            memory: MemoryAccount::with_limits(&[
+                (MemoryKind::RequestBody, (memory * BODY_MEMORY_SHARE) as usize),
+                (MemoryKind::ResponseBody, (memory * BODY_MEMORY_SHARE) as usize),
+            ]),
             list_index: config.initial_list.index,
             list_source: 0,
             newest_source: 0,
@@ -555,11 +515,9 @@
         let id = self.next_id;
         self.next_id += 1;
         let answer_slot = Rc::new(AnswerSlot::default());
-        let request = Rc::new(ForwardedRequest {
-            head: encode_forwarded_head(&request),
-            body: request.body,
-            _memory: memory,
-        });
+        let head = encode_forwarded_head(&request);
+        let head_memory = self.memory.hold(MemoryKind::RequestHead, head.capacity());
+        let request = Rc::new(ForwardedRequest { head, body: request.body, _memory: [head_memory, memory] });
         self.open.insert(
             id,
             OpenTransaction {
@@ -619,15 +577,9 @@
         true
     }
 
-    /// Memory for the body of a request, if it is available.
-    pub fn acquire_request_memory(&mut self, bytes: usize) -> Option<MemoryPermit> {
-        let mut permit = self.request_memory.acquire(0);
-        permit.try_grow(bytes).then_some(permit)
-    }
-
-    /// The memory budget for bodies of responses, and the longest body of one response, bytes.
-    pub fn response_memory(&self) -> (MemoryBudget, usize) {
-        (self.response_memory.clone(), (self.config.limits.memory_mb * 1e6 * RESPONSE_MEMORY_SHARE) as usize)
+    /// The longest body of one response, bytes.
+    pub fn max_response_body(&self) -> usize {
+        (self.config.limits.memory_mb * 1e6 * RESPONSE_MEMORY_SHARE) as usize
     }
 
     /// Whether no transaction is open and no client connected.
@@ -927,6 +879,7 @@
         let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
         let pages = pages.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok()).unwrap_or(0);
         self.counts.resident_kb = pages * 4;
+        self.counts.memory = self.memory.take_summary();
         self.counts.polls = take_summary();
         let counts = self.counts.clone();
         self.counts.max_timer_delay = 0.0;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod idle_reuse;
 mod instance;
 pub mod json_stream;
+pub mod memory;
 pub mod outcome;
 pub mod replay_window;
 mod upstream;
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -19,7 +19,8 @@
 use crate::front::FinalAnswer;
 use crate::headers::{self, NodeReport};
 use crate::idle_reuse::MIN_IDLE_TIME;
-use crate::instance::{ForwardedRequest, MemoryPermit, Node, Shot, WeakInstance};
+use crate::instance::{ForwardedRequest, Node, Shot, WeakInstance};
+use crate::memory::{MemoryKind, MemoryPermit};
 use crate::outcome::ShotEnd;
 use crate::MAX_READ_BYTES;
 
@@ -126,12 +127,15 @@
     complete: bool,
     /// Memory of the body.
     memory: MemoryPermit,
+    /// Memory of the decoder.
+    buffer_memory: MemoryPermit,
 }
 
 impl IncomingResponse {
     /// Decodes received bytes; true once the response is complete.
     fn receive(&mut self, bytes: &[u8]) -> Result<bool, DecodeError> {
         self.decoder.feed(bytes);
+        self.buffer_memory.resize(self.decoder.memory_bytes());
         while let Some(part) = self.decoder.poll()? {
             match part {
                 ResponsePart::Head(head) => self.head = Some(head),
@@ -231,7 +235,7 @@
 ) -> ShotEnd {
     let Some(upstream) = connection(instance, shot).await else { return ShotEnd::ConnectionLost };
     let upstream = used.insert(upstream);
-    let bytes = {
+    let (bytes, _memory) = {
         let Some(this) = instance.upgrade() else { return ShotEnd::ConnectionLost };
         // While the connection was established, the node may have been listed as draining or removed, or may have moved or
         // restarted.
@@ -242,7 +246,9 @@
             return ShotEnd::ConnectionLost;
         }
         shot.advance_to(Progress::Queued);
-        headers::encode_shot(&request.head, &request.body, shot.stop_at - now)
+        let bytes = headers::encode_shot(&request.head, &request.body, shot.stop_at - now);
+        let memory = this.borrow().memory.hold(MemoryKind::Attempt, bytes.capacity());
+        (bytes, memory)
     };
     let writing = async {
         match write(upstream, shot, &bytes).await {
@@ -298,11 +304,19 @@
 
 /// The task of one shot: sends it, receives the response and reports the outcome to the instance.
 pub async fn run_shot(instance: WeakInstance, shot: Rc<Shot>, request: Rc<ForwardedRequest>) {
-    let Some((budget, max_body)) = instance.upgrade().map(|this| this.borrow().response_memory()) else {
+    let Some((account, max_body)) =
+        instance.upgrade().map(|this| (this.borrow().memory.clone(), this.borrow().max_response_body()))
+    else {
         return;
     };
-    let (decoder, memory) = (ResponseDecoder::new(max_body), budget.acquire(0));
-    let mut incoming = IncomingResponse { decoder, head: None, body: Vec::new(), complete: false, memory };
+    let mut incoming = IncomingResponse {
+        decoder: ResponseDecoder::new(max_body),
+        head: None,
+        body: Vec::new(),
+        complete: false,
+        memory: account.hold(MemoryKind::ResponseBody, 0),
+        buffer_memory: account.hold(MemoryKind::ResponseBuffer, 0),
+    };
     let mut used = None;
     // An end from this side is checked first, so that nothing is sent for a client that has disconnected.
     let mut end =
