Requests and answers are written without copies, and released once they are not needed

Change: vectored writes in both directions; exact buffers; what was sent ahead goes as soon as it is too long to be served; a request is released when its last attempt is written, an answer when it is written. The sum is not bounded yet.

--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -18,9 +18,11 @@
     }
 }
 
-/// A complete response with these headers and a Content-Length; with `Connection: close` if `close` is set.
-pub fn encode_response(status: u16, headers: &[(&str, &str)], body: &[u8], close: bool) -> Vec<u8> {
-    let mut encoded = Vec::with_capacity(128 + body.len());
+/// The head of a response with these headers and a Content-Length; with `Connection: close` if `close` is set.
+pub fn encode_response_head(
+    status: u16, headers: &[(&str, &str)], body_length: usize, close: bool,
+) -> Vec<u8> {
+    let mut encoded = Vec::with_capacity(128);
     encoded.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status)).as_bytes());
     for (name, value) in headers {
         encoded.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
@@ -28,7 +30,13 @@
     if close {
         encoded.extend_from_slice(b"Connection: close\r\n");
     }
-    encoded.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+    encoded.extend_from_slice(format!("Content-Length: {body_length}\r\n\r\n").as_bytes());
+    encoded
+}
+
+/// A complete response, as [`encode_response_head`] with its body.
+pub fn encode_response(status: u16, headers: &[(&str, &str)], body: &[u8], close: bool) -> Vec<u8> {
+    let mut encoded = encode_response_head(status, headers, body.len(), close);
     encoded.extend_from_slice(body);
     encoded
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,7 +15,7 @@
 mod request;
 mod response;
 
-pub use encode::{encode_error_response, encode_response, reason_phrase};
+pub use encode::{encode_error_response, encode_response, encode_response_head, reason_phrase};
 pub use request::{Request, RequestDecoder};
 pub use response::{ResponseDecoder, ResponseHead, ResponsePart};
 
@@ -30,6 +30,9 @@
 /// Longest request body that the platform allows, bytes.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
 
+/// Capacity to which a decoder's buffer shrinks after bytes of a body were taken out of it, bytes.
+const EMPTY_BUFFER_CAPACITY: usize = 1 << 10;
+
 /// The reason why a message cannot be decoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("{reason}")]
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -1,10 +1,10 @@
 //! Decoding of the requests that clients send.
 
 use crate::framing::{declared_framing, Framing};
-use crate::{find_head_end, reject, DecodeError, Headers, MAX_BODY_BYTES, MAX_HEADERS, MAX_HEAD_BYTES};
-
-/// Capacity to which the buffer shrinks after the body of a request was taken out of it, bytes.
-const EMPTY_BUFFER_CAPACITY: usize = 1 << 10;
+use crate::{
+    find_head_end, reject, DecodeError, Headers, EMPTY_BUFFER_CAPACITY, MAX_BODY_BYTES, MAX_HEADERS,
+    MAX_HEAD_BYTES,
+};
 
 /// A complete request, its body without any transfer coding.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -2,7 +2,8 @@
 
 use crate::framing::{declared_framing, Framing};
 use crate::{
-    find_head_end, reject, DecodeError, Headers, MAX_HEADERS, MAX_HEAD_BYTES, MAX_INTERIM_RESPONSES,
+    find_head_end, reject, DecodeError, Headers, EMPTY_BUFFER_CAPACITY, MAX_HEADERS, MAX_HEAD_BYTES,
+    MAX_INTERIM_RESPONSES,
 };
 
 /// The head of a final response.
@@ -59,6 +60,14 @@
         self.buffer.len()
     }
 
+    /// Number of bytes that are left of a body with a Content-Length; 0 for any other body and before the head.
+    pub fn remaining_body(&self) -> usize {
+        match self.stage {
+            Stage::Body(Framing::Length(remaining)) => remaining,
+            _ => 0,
+        }
+    }
+
     /// Memory that the decoder holds, bytes.
     pub fn memory_bytes(&self) -> usize {
         self.buffer.capacity()
@@ -110,6 +119,7 @@
                 Stage::Body(framing) => {
                     let mut body = Vec::new();
                     framing.consume(&mut self.buffer, &mut body, self.max_body)?;
+                    self.buffer.shrink_to(EMPTY_BUFFER_CAPACITY);
                     if !body.is_empty() {
                         self.max_body = self.max_body.saturating_sub(body.len());
                         return Ok(Some(ResponsePart::Body(body)));
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -9,13 +9,15 @@
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, FutureExt};
-use quaypath_http::{encode_error_response, encode_response, Request, RequestDecoder, MAX_HEAD_BYTES};
+use quaypath_http::{
+    encode_error_response, encode_response, encode_response_head, Request, RequestDecoder, MAX_HEAD_BYTES,
+};
 use quaypath_initiator::event_loop::{read_some, run_turn, try_read, with_timeout, Driver, Notify, Received};
 use quaypath_initiator::polls::yield_if_spent;
 
 use crate::instance::{SharedInstance, ShutdownStage, WeakInstance};
 use crate::memory::{MemoryAccount, MemoryKind, MemoryPermit};
-use crate::MAX_READ_BYTES;
+use crate::{vectored, MAX_READ_BYTES};
 
 /// A request must be complete within this time from the opening of the connection or from its own first byte, seconds.
 const REQUEST_TIMEOUT: f64 = 2.5;
@@ -87,18 +89,29 @@
 }
 
 impl FinalAnswer {
-    fn encode(&self, close: bool) -> Vec<u8> {
+    /// The head of the response to the client; with `Connection: close` if `close` is set.
+    fn encode_head(&self, close: bool) -> Vec<u8> {
+        let body_length = self.body().len();
         match self {
-            FinalAnswer::Settled(content_type, body, _) => {
+            FinalAnswer::Settled(content_type, ..) => {
                 let content_type = content_type.as_deref().map(|content_type| ("Content-Type", content_type));
-                encode_response(200, content_type.as_slice(), body, close)
+                encode_response_head(200, content_type.as_slice(), body_length, close)
             }
             FinalAnswer::Declined(retry_after) if *retry_after > 0.0 => {
                 let retry_after = format!("{:.3}", (retry_after * 1e3).ceil() / 1e3);
-                encode_response(503, &[("Retry-After", &retry_after)], b"declined\n", close)
+                encode_response_head(503, &[("Retry-After", &retry_after)], body_length, close)
             }
-            FinalAnswer::Declined(_) => encode_response(503, &[], b"declined\n", close),
-            FinalAnswer::Scrapped => encode_response(500, &[], b"scrapped\n", close),
+            FinalAnswer::Declined(_) => encode_response_head(503, &[], body_length, close),
+            FinalAnswer::Scrapped => encode_response_head(500, &[], body_length, close),
+        }
+    }
+
+    /// The body of the response to the client.
+    fn body(&self) -> &[u8] {
+        match self {
+            FinalAnswer::Settled(_, body, _) => body,
+            FinalAnswer::Declined(_) => b"declined\n",
+            FinalAnswer::Scrapped => b"scrapped\n",
         }
     }
 }
@@ -201,7 +214,7 @@
                 while !self.instance()?.borrow().is_ready() {
                     Timer::after(READINESS_CHECK_INTERVAL).await;
                 }
-                self.write(&encode_response(200, &[], b"up\n", close)).await?;
+                self.write([&encode_response(200, &[], b"up\n", close)]).await?;
             } else if !self.serve_transaction(request, memory).await? {
                 return Ok(());
             }
@@ -250,7 +263,7 @@
             }
             if self.decoder.expects_continue() && !continue_sent {
                 continue_sent = true;
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                self.write([b"HTTP/1.1 100 Continue\r\n\r\n"]).await?;
             }
             if self.decoder.has_partial_request() {
                 if self.instance()?.borrow().shutdown_stage == ShutdownStage::Terminating {
@@ -347,14 +360,17 @@
             // the connection is closed after this answer: left in the kernel, they would hide that the client has
             // disconnected.
             loop {
-                let room = MAX_HEAD_BYTES.saturating_sub(decoder.buffered());
                 let feed = |bytes: &[u8]| {
-                    decoder.feed(&bytes[..bytes.len().min(room)]);
+                    overrun |= decoder.buffered() + bytes.len() > MAX_HEAD_BYTES;
+                    if overrun {
+                        *decoder = RequestDecoder::default();
+                    } else {
+                        decoder.feed(bytes);
+                    }
                     buffer_memory.resize(decoder.memory_bytes());
-                    bytes.len() > room
                 };
                 match read_some(&stream, MAX_READ_BYTES, feed).await {
-                    Ok(Received::Bytes(excess)) => overrun |= excess,
+                    Ok(Received::Bytes(())) => {}
                     Ok(Received::End) | Err(_) => return None,
                 }
             }
@@ -374,19 +390,17 @@
                 let _ = try_read(self.stream.get_ref(), MAX_READ_BYTES, |bytes| decoder.feed(bytes));
                 !decoder.has_partial_request()
             };
-        let encoded = answer.encode(wants_close || close);
-        let _memory = self.memory.hold(MemoryKind::Answer, encoded.capacity());
-        self.write(&encoded).await?;
+        self.write([&answer.encode_head(wants_close || close), answer.body()]).await?;
+        drop(answer);
         if close {
             self.close().await?;
         }
         Ok(!close)
     }
 
-    /// Writes to the client within the write timeout.
-    async fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        let mut stream = &*self.stream;
-        with_timeout(WRITE_TIMEOUT, async { stream.write_all(bytes).await }).await
+    /// Writes the buffers in order to the client within the write timeout.
+    async fn write<const COUNT: usize>(&self, buffers: [&[u8]; COUNT]) -> io::Result<()> {
+        with_timeout(WRITE_TIMEOUT, vectored::write_all(&self.stream, buffers, || {})).await
     }
 
     /// Sends an error response for a request that is invalid or cannot be served, and closes the connection.
@@ -398,7 +412,7 @@
         if let Some(this) = self.instance.upgrade() {
             this.borrow_mut().counts.rejected += 1;
         }
-        self.write(&encode_error_response(status, reason)).await?;
+        self.write([&encode_error_response(status, reason)]).await?;
         self.close().await
     }
 
--- a/crates/platform/src/headers.rs
+++ b/crates/platform/src/headers.rs
@@ -142,7 +142,11 @@
 
 /// The head of the requests that are sent to nodes, up to the headers that are written for each shot.
 pub fn encode_forwarded_head(request: &Request) -> Vec<u8> {
-    let mut head = format!("{} {} HTTP/1.1\r\n", request.method, request.target).into_bytes();
+    let fields = request.headers.0.iter().map(|(name, value)| name.len() + value.len() + ": \r\n".len());
+    let request_line_bytes = request.method.len() + request.target.len() + "  HTTP/1.1\r\n".len();
+    // A vector that grows step by step may allocate up to twice the length.
+    let mut head = Vec::with_capacity(request_line_bytes + fields.sum::<usize>());
+    head.extend_from_slice(format!("{} {} HTTP/1.1\r\n", request.method, request.target).as_bytes());
     for (name, value) in &request.headers.0 {
         let not_forwarded = NOT_FORWARDED.iter().any(|header| name.eq_ignore_ascii_case(header));
         let always_forwarded = name.eq_ignore_ascii_case("x-request-id") || name.eq_ignore_ascii_case("host");
@@ -157,18 +161,15 @@
     head
 }
 
-/// The request of one shot. `timeout` is how long the gateway waits for the response, seconds.
-pub fn encode_shot(head: &[u8], body: &[u8], timeout: f64) -> Vec<u8> {
+/// The part of a shot's request between the forwarded head and the body: the headers that are written anew for each shot,
+/// and the end of the head. `timeout` is how long the gateway waits for the response, seconds.
+pub fn encode_shot_headers(head: &[u8], body: &[u8], timeout: f64) -> String {
     let timeout = (timeout.max(0.0) * 1e6).ceil().max(1.0);
-    let mut bytes = Vec::with_capacity(head.len() + body.len() + 64);
-    bytes.extend_from_slice(head);
-    bytes.extend_from_slice(format!("X-Timeout: {timeout}u\r\n").as_bytes());
     if !body.is_empty() || head.starts_with(b"PUT") {
-        bytes.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+        format!("X-Timeout: {timeout}u\r\nContent-Length: {}\r\n\r\n", body.len())
+    } else {
+        format!("X-Timeout: {timeout}u\r\n\r\n")
     }
-    bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(body);
-    bytes
 }
 
 /// What the headers of a node's response report. A header that cannot be parsed does not affect the other one.
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -223,7 +223,8 @@
     units: f64,
     /// Outer limit: time at which the client's budget ends, seconds.
     outer_limit: f64,
-    request: Rc<ForwardedRequest>,
+    /// `None` once no further shot will be sent.
+    request: Option<Rc<ForwardedRequest>>,
     /// Number of shots sent so far.
     shots: u32,
     /// The shot in flight.
@@ -517,7 +518,7 @@
         let answer_slot = Rc::new(AnswerSlot::default());
         let head = encode_forwarded_head(&request);
         let head_memory = self.memory.hold(MemoryKind::RequestHead, head.capacity());
-        let request = Rc::new(ForwardedRequest { head, body: request.body, _memory: [head_memory, memory] });
+        let request = ForwardedRequest { head, body: request.body, _memory: [head_memory, memory] };
         self.open.insert(
             id,
             OpenTransaction {
@@ -531,7 +532,7 @@
                 initiators: decoded.initiators,
                 units: decoded.units,
                 outer_limit: arrived + decoded.budget,
-                request,
+                request: Some(Rc::new(request)),
                 shots: 0,
                 shot: None,
             },
@@ -548,6 +549,7 @@
             return;
         };
         transaction.client = None;
+        transaction.request = None;
         let in_flight = transaction.shot.is_some();
         transaction.cancel_unsent_shot();
         self.counts.client_cancelled += 1;
@@ -569,6 +571,7 @@
     fn answer(&mut self, id: u64, answer: FinalAnswer) -> bool {
         let Some(transaction) = self.open.get_mut(&id) else { return false };
         let Some(answer_slot) = transaction.client.take() else { return false };
+        transaction.request = None;
         transaction.cancel_unsent_shot();
         if transaction.shot.is_none() {
             self.remove_transaction(id);
@@ -592,6 +595,7 @@
     /// Starts a task for the next shot of a transaction.
     fn send(&mut self, id: u64, stop_at: f64, node: NodeId) {
         let Some(transaction) = self.open.get_mut(&id) else { return };
+        let Some(request) = transaction.request.clone() else { return };
         let stop_at =
             if stop_at > 0.0 { stop_at.min(transaction.outer_limit) } else { transaction.outer_limit };
         let shot = Rc::new(Shot {
@@ -609,7 +613,6 @@
         self.counts.further_shots += u64::from(shot.number > 0);
         transaction.shot = Some(shot.clone());
         self.timers.set(stop_at, Timer::ShotTimeout(id, shot.number));
-        let request = transaction.request.clone();
         if let Some(executor) = self.executor.upgrade() {
             let peer = Peer::Node(shot.node.0.clone());
             spawn(
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod outcome;
 pub mod replay_window;
 mod upstream;
+mod vectored;
 
 use std::io;
 use std::net::TcpListener;
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -16,25 +16,19 @@
     RequestHead,
     /// Bodies of requests.
     RequestBody,
-    /// Requests encoded for one attempt.
-    Attempt,
     /// Bodies of responses, until they are written to the client.
     ResponseBody,
     /// Bytes of nodes that are not decoded yet.
     ResponseBuffer,
-    /// Responses encoded for the client.
-    Answer,
 }
 
 impl MemoryKind {
-    pub const ALL: [MemoryKind; 7] = [
+    pub const ALL: [MemoryKind; 5] = [
         MemoryKind::ReceiveBuffer,
         MemoryKind::RequestHead,
         MemoryKind::RequestBody,
-        MemoryKind::Attempt,
         MemoryKind::ResponseBody,
         MemoryKind::ResponseBuffer,
-        MemoryKind::Answer,
     ];
 
     /// Its name in the metrics.
@@ -43,10 +37,8 @@
             MemoryKind::ReceiveBuffer => "receive_buffers",
             MemoryKind::RequestHead => "request_heads",
             MemoryKind::RequestBody => "request_bodies",
-            MemoryKind::Attempt => "attempts",
             MemoryKind::ResponseBody => "response_bodies",
             MemoryKind::ResponseBuffer => "response_buffers",
-            MemoryKind::Answer => "answers",
         }
     }
 }
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -5,7 +5,7 @@
 //! bytes, is closed.
 
 use std::cell::Cell;
-use std::io::{self, Read, Write};
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -22,7 +22,7 @@
 use crate::instance::{ForwardedRequest, Node, Shot, WeakInstance};
 use crate::memory::{MemoryKind, MemoryPermit};
 use crate::outcome::ShotEnd;
-use crate::MAX_READ_BYTES;
+use crate::{vectored, MAX_READ_BYTES};
 
 /// The gateway closes an idle connection after this share of the node's idle timeout, before the node closes it.
 const IDLE_TIMEOUT_SHARE: f64 = 0.8;
@@ -207,35 +207,29 @@
     }
 }
 
-/// Writes the request, with one call if the kernel accepts all of it.
-async fn write(upstream: &UpstreamConnection, shot: &Shot, bytes: &[u8]) -> io::Result<()> {
-    let mut sent = 0;
-    while sent < bytes.len() {
-        match upstream.stream.get_ref().write(&bytes[sent..]) {
-            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Ok(count) => {
-                sent += count;
-                if shot.progress() < Progress::PartlySent {
-                    shot.advance_to(Progress::PartlySent);
-                }
-            }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => upstream.stream.writable().await?,
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) => return Err(error),
+/// Writes the request of a shot.
+async fn write(
+    upstream: &UpstreamConnection, shot: &Shot, request: &ForwardedRequest, shot_headers: &str,
+) -> io::Result<()> {
+    let partly_sent = || {
+        if shot.progress() < Progress::PartlySent {
+            shot.advance_to(Progress::PartlySent);
         }
-    }
+    };
+    let buffers = [&request.head, shot_headers.as_bytes(), &request.body];
+    vectored::write_all(&upstream.stream, buffers, partly_sent).await?;
     shot.advance_to(Progress::Sent);
     Ok(())
 }
 
 /// Sends a shot on a connection, which is put into `used`, and receives its response into `incoming`.
 async fn send_and_receive(
-    instance: &WeakInstance, shot: &Shot, request: &ForwardedRequest, used: &mut Option<UpstreamConnection>,
-    incoming: &mut IncomingResponse,
+    instance: &WeakInstance, shot: &Shot, request: Rc<ForwardedRequest>,
+    used: &mut Option<UpstreamConnection>, incoming: &mut IncomingResponse,
 ) -> ShotEnd {
     let Some(upstream) = connection(instance, shot).await else { return ShotEnd::ConnectionLost };
     let upstream = used.insert(upstream);
-    let (bytes, _memory) = {
+    let shot_headers = {
         let Some(this) = instance.upgrade() else { return ShotEnd::ConnectionLost };
         // While the connection was established, the node may have been listed as draining or removed, or may have moved or
         // restarted.
@@ -246,12 +240,12 @@
             return ShotEnd::ConnectionLost;
         }
         shot.advance_to(Progress::Queued);
-        let bytes = headers::encode_shot(&request.head, &request.body, shot.stop_at - now);
-        let memory = this.borrow().memory.hold(MemoryKind::Attempt, bytes.capacity());
-        (bytes, memory)
+        headers::encode_shot_headers(&request.head, &request.body, shot.stop_at - now)
     };
     let writing = async {
-        match write(upstream, shot, &bytes).await {
+        let written = write(upstream, shot, &request, &shot_headers).await;
+        drop(request);
+        match written {
             Ok(()) => pending().await,
             Err(_) => ShotEnd::ConnectionLost,
         }
@@ -320,7 +314,7 @@
     let mut used = None;
     // An end from this side is checked first, so that nothing is sent for a client that has disconnected.
     let mut end =
-        shot.ended().or(send_and_receive(&instance, &shot, &request, &mut used, &mut incoming)).await;
+        shot.ended().or(send_and_receive(&instance, &shot, request, &mut used, &mut incoming)).await;
     if end == ShotEnd::TimedOut && shot.progress() == Progress::Sent {
         end = read_arrived_in_time(used.as_ref(), &mut incoming).await.unwrap_or(end);
     }
--- a/crates/platform/tests/headers_and_config.rs
+++ b/crates/platform/tests/headers_and_config.rs
@@ -4,8 +4,8 @@
 
 use quaypath_http::{Request, RequestDecoder, ResponseDecoder};
 use quaypath_platform::headers::{
-    decode_node_report, decode_transaction, encode_forwarded_head, encode_shot, parse_timeout, NodeReport,
-    TransactionRequest,
+    decode_node_report, decode_transaction, encode_forwarded_head, encode_shot_headers, parse_timeout,
+    NodeReport, TransactionRequest,
 };
 use quaypath_platform::Config;
 use serde_json::{json, Value};
@@ -132,7 +132,9 @@
     let text = VALID_REQUEST
         .replace("X-Extent", "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nExpect: 100-continue\r\nX-Extent");
     let received = decode_request(&text);
-    let bytes = encode_shot(&encode_forwarded_head(&received), &received.body, 0.25);
+    let head = encode_forwarded_head(&received);
+    let shot_headers = encode_shot_headers(&head, &received.body, 0.25);
+    let bytes = [&head, shot_headers.as_bytes(), &received.body].concat();
     let sent = decode_request(std::str::from_utf8(&bytes).expect("text"));
     assert_eq!(
         (&sent.method, &sent.target, &sent.body),
