The sum of what clients and nodes make the gateway hold is bounded by memory_mb

Cause: only bodies had a budget; heads, buffers, connections and transactions were bounded one by one, by up to 450 clients. Long buffers that glibc keeps after their release came on top. Change: one account for all kinds, in pages as the allocator takes them, with a capacity drawn from memory_mb less the program. At the bound long requests are refused with 503, short ones have a reserve, answers wait in the kernel in order; what was sent ahead is thrown away. Allocations from 4 KiB on have pages of their own. The budget of bodies is a quarter of the memory in pages (a fifth of it in bytes before, of which 15,000 bytes take a twelfth more in pages); with no such budget memory_stays_bounded_with_the_maximum_number_of_clients, which is unchanged, failed. Failed try: a sum without a budget for bodies, as above.

--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -44,6 +44,10 @@
 impl RequestDecoder {
     /// Appends received bytes to the buffer; they are decoded by [`RequestDecoder::poll`].
     pub fn feed(&mut self, bytes: &[u8]) {
+        // A vector that grows by itself may allocate up to twice the length.
+        if bytes.len() > self.buffer.capacity() - self.buffer.len() {
+            self.buffer.reserve_exact(bytes.len().max(EMPTY_BUFFER_CAPACITY));
+        }
         self.buffer.extend_from_slice(bytes);
     }
 
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -60,11 +60,13 @@
         self.buffer.len()
     }
 
-    /// Number of bytes that are left of a body with a Content-Length; 0 for any other body and before the head.
-    pub fn remaining_body(&self) -> usize {
+    /// Number of bytes of the body that are left to decode; `None` before the head is complete, and for a body without
+    /// a length.
+    pub fn announced_body(&self) -> Option<usize> {
         match self.stage {
-            Stage::Body(Framing::Length(remaining)) => remaining,
-            _ => 0,
+            Stage::Body(Framing::Length(remaining)) => Some(remaining),
+            Stage::Body(Framing::Done) | Stage::Finished => Some(0),
+            Stage::Head(..) | Stage::Body(_) => None,
         }
     }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -10,13 +10,14 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, FutureExt};
 use quaypath_http::{
-    encode_error_response, encode_response, encode_response_head, Request, RequestDecoder, MAX_HEAD_BYTES,
+    encode_error_response, encode_response, encode_response_head, DecodeError, Request, RequestDecoder,
+    MAX_HEAD_BYTES,
 };
 use quaypath_initiator::event_loop::{read_some, run_turn, try_read, with_timeout, Driver, Notify, Received};
 use quaypath_initiator::polls::yield_if_spent;
 
 use crate::instance::{SharedInstance, ShutdownStage, WeakInstance};
-use crate::memory::{MemoryAccount, MemoryKind, MemoryPermit};
+use crate::memory::{allocated_bytes, MemoryAccount, MemoryKind, MemoryPermit, CONNECTION_BYTES};
 use crate::{vectored, MAX_READ_BYTES};
 
 /// A request must be complete within this time from the opening of the connection or from its own first byte, seconds.
@@ -80,7 +81,7 @@
 
 /// The final answer of a transaction.
 pub enum FinalAnswer {
-    /// Content type and body from the node. The body counts against the memory budget until it is written.
+    /// Content type and body from the node, and the memory of the body.
     Settled(Option<String>, Vec<u8>, #[allow(dead_code)] MemoryPermit),
     /// Nothing has run, and the client may retry after this many seconds.
     Declined(f64),
@@ -148,11 +149,14 @@
     let mut task = ClientTask {
         instance,
         buffer_memory: memory.hold(MemoryKind::ReceiveBuffer, 0),
+        body_memory: memory.hold(MemoryKind::RequestBody, 0),
+        _connection_memory: memory.hold(MemoryKind::Connection, CONNECTION_BYTES),
         memory,
         number,
         close_request,
         stream,
         decoder: RequestDecoder::default(),
+        overrun: false,
         last_received: 0.0,
     };
     let _ = task.run().await;
@@ -169,9 +173,14 @@
     close_request: Rc<Notify>,
     stream: Rc<Async<TcpStream>>,
     memory: MemoryAccount,
+    _connection_memory: MemoryPermit,
     decoder: RequestDecoder,
     /// Memory of the decoder.
     buffer_memory: MemoryPermit,
+    /// Memory of the body that is being received.
+    body_memory: MemoryPermit,
+    /// Bytes of a further request were discarded, so that the connection is to be closed after the current answer.
+    overrun: bool,
     /// When bytes were received last, seconds; 0 before the first.
     last_received: f64,
 }
@@ -218,7 +227,7 @@
             } else if !self.serve_transaction(request, memory).await? {
                 return Ok(());
             }
-            if close {
+            if close || self.overrun {
                 return self.close().await;
             }
             // One read may have received many requests.
@@ -226,41 +235,24 @@
         }
     }
 
-    /// Receives the next request and acquires the memory for its body; `None` if the connection was closed.
+    /// Receives the next request and reserves the memory for its body; `None` if the connection was closed.
     async fn next_request(&mut self) -> io::Result<Option<(Request, MemoryPermit)>> {
         let opened = self.enter(ConnectionState::Idle)?;
         let first = self.last_received == 0.0;
         let mut deadline = first.then_some(opened + REQUEST_TIMEOUT);
-        let mut memory: Option<MemoryPermit> = None;
         let mut continue_sent = false;
         loop {
-            let decoded = self.decoder.poll();
-            self.buffer_memory.resize(self.decoder.memory_bytes());
-            match decoded {
+            match self.decode_request() {
+                Ok(None) => {}
                 Ok(Some(request)) => {
-                    let body_length = request.body.len();
-                    let memory =
-                        memory.or_else(|| self.memory.try_hold(MemoryKind::RequestBody, body_length));
-                    let Some(memory) = memory else {
-                        self.reject(503, "no room for a body").await?;
-                        return Ok(None);
-                    };
-                    return Ok(Some((request, memory)));
+                    let no_memory = self.memory.hold(MemoryKind::RequestBody, 0);
+                    return Ok(Some((request, std::mem::replace(&mut self.body_memory, no_memory))));
                 }
-                Ok(None) => {}
                 Err(error) => {
                     self.reject(error.status, error.reason).await?;
                     return Ok(None);
                 }
             }
-            let announced = self.decoder.announced_body();
-            if announced > 0 && memory.is_none() {
-                memory = self.memory.try_hold(MemoryKind::RequestBody, announced);
-                if memory.is_none() {
-                    self.reject(503, "no room for a body").await?;
-                    return Ok(None);
-                }
-            }
             if self.decoder.expects_continue() && !continue_sent {
                 continue_sent = true;
                 self.write([b"HTTP/1.1 100 Continue\r\n\r\n"]).await?;
@@ -295,6 +287,38 @@
         }
     }
 
+    /// Decodes the next request and reserves the memory for it; `None` if it is not complete.
+    fn decode_request(&mut self) -> Result<Option<Request>, DecodeError> {
+        let mut decoded = self.decoder.poll()?;
+        let body_capacity = match &mut decoded {
+            Some(request) => {
+                request.body.shrink_to_fit();
+                request.body.capacity()
+            }
+            None => self.decoder.announced_body(),
+        };
+        if !self.body_memory.try_resize(allocated_bytes(body_capacity)) {
+            return Err(DecodeError { status: 503, reason: "no room for a body" });
+        }
+        if decoded.is_some() {
+            self.keep_received();
+        } else if !self.buffer_memory.try_resize(allocated_bytes(self.decoder.memory_bytes())) {
+            return Err(DecodeError { status: 503, reason: "no room for a head" });
+        }
+        Ok(decoded)
+    }
+
+    /// Keeps what was received behind the current request. If it is longer than a head, or there is no memory for it, it is
+    /// discarded, and the connection is closed after the current answer.
+    fn keep_received(&mut self) {
+        self.overrun |= self.decoder.buffered() > MAX_HEAD_BYTES
+            || !self.buffer_memory.try_resize(allocated_bytes(self.decoder.memory_bytes()));
+        if self.overrun {
+            self.decoder = RequestDecoder::default();
+            self.buffer_memory.release();
+        }
+    }
+
     /// Reads without waiting before a connection is closed between two requests; false if bytes have arrived.
     fn nothing_arrived(&mut self) -> io::Result<bool> {
         let decoder = &mut self.decoder;
@@ -309,13 +333,9 @@
     /// Waits for more bytes, a close request or the deadline.
     async fn wait_for_bytes(&mut self, deadline: Option<f64>) -> io::Result<WaitEnd> {
         let now = self.instance()?.borrow().clock_now();
-        let (decoder, buffer_memory) = (&mut self.decoder, &mut self.buffer_memory);
-        let mut feed = |bytes: &[u8]| {
-            decoder.feed(bytes);
-            buffer_memory.resize(decoder.memory_bytes());
-        };
+        let decoder = &mut self.decoder;
         let read = async {
-            match read_some(&self.stream, MAX_READ_BYTES, &mut feed).await? {
+            match read_some(&self.stream, MAX_READ_BYTES, |bytes| decoder.feed(bytes)).await? {
                 Received::Bytes(()) => Ok(WaitEnd::Bytes),
                 Received::End => Ok(WaitEnd::PeerClosed),
             }
@@ -353,21 +373,14 @@
             }
         };
         drop(this);
-        let (decoder, buffer_memory) = (&mut self.decoder, &mut self.buffer_memory);
-        let (stream, mut overrun) = (self.stream.clone(), false);
+        let stream = self.stream.clone();
         let disconnected = async {
-            // Bytes that arrive meanwhile belong to the next request. Beyond the length of a head they are discarded, and
-            // the connection is closed after this answer: left in the kernel, they would hide that the client has
-            // disconnected.
+            // Bytes that arrive meanwhile belong to the next request. They are not left in the kernel, where they would hide
+            // that the client has disconnected.
             loop {
                 let feed = |bytes: &[u8]| {
-                    overrun |= decoder.buffered() + bytes.len() > MAX_HEAD_BYTES;
-                    if overrun {
-                        *decoder = RequestDecoder::default();
-                    } else {
-                        decoder.feed(bytes);
-                    }
-                    buffer_memory.resize(decoder.memory_bytes());
+                    self.decoder.feed(bytes);
+                    self.keep_received();
                 };
                 match read_some(&stream, MAX_READ_BYTES, feed).await {
                     Ok(Received::Bytes(())) => {}
@@ -384,7 +397,7 @@
         let stopping = this.borrow().shutdown_stage > ShutdownStage::Running;
         drop(this);
         // During a shutdown the connection is closed after the answer, unless another request has arrived after this one.
-        let close = overrun
+        let close = self.overrun
             || stopping && {
                 let decoder = &mut self.decoder;
                 let _ = try_read(self.stream.get_ref(), MAX_READ_BYTES, |bytes| decoder.feed(bytes));
@@ -408,7 +421,8 @@
         // Nothing more is decoded of what the client sent, which may be much, and it is released at once, because many such
         // connections may be waiting for their close.
         self.decoder = RequestDecoder::default();
-        self.buffer_memory.resize(0);
+        self.buffer_memory.release();
+        self.body_memory.release();
         if let Some(this) = self.instance.upgrade() {
             this.borrow_mut().counts.rejected += 1;
         }
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -3,8 +3,9 @@
 //! decisions.
 //!
 //! Limits, and what happens when they are reached: client connections (the longest idle one is closed, or else the new one
-//! is refused), memory for bodies of requests (the request is rejected before the core sees it), connections to nodes (an
-//! idle one is closed, or else the shot ends as one that could not connect), remembered request ids (the oldest is removed).
+//! is refused), memory for requests (the request is rejected before the core sees it; see [`crate::memory`]), connections to
+//! nodes (an idle one is closed, or else the shot ends as one that could not connect), remembered request ids (the oldest is
+//! removed).
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -30,7 +31,10 @@
 };
 use crate::headers::{decode_transaction, encode_forwarded_head, NodeReport};
 use crate::idle_reuse::IdleReuse;
-use crate::memory::{MemoryAccount, MemoryKind, MemoryPermit, MemorySummary};
+use crate::memory::{
+    allocated_bytes, resident_bytes, MemoryAccount, MemoryKind, MemoryLimits, MemoryPermit, MemorySummary,
+    TRANSACTION_BYTES,
+};
 use crate::outcome::{outcome, ShotEnd};
 use crate::replay_window::{HashedId, ReplayWindow};
 use crate::upstream::{self, Pool};
@@ -59,11 +63,6 @@
 /// agent knows counts as reported to the gateway from the first moment of the process; if discovery is silent, it has
 /// reported nothing.
 const FIRST_LIST_TIMEOUT: f64 = 1.0;
-/// Share of the memory for the bodies of all requests together, and the same share again for those of all responses.
-const BODY_MEMORY_SHARE: f64 = 0.2;
-/// Share of the memory for the body of one response. The platform specification says 64 KiB, but nodes were seen to answer
-/// reads with six times that.
-const RESPONSE_MEMORY_SHARE: f64 = 0.05;
 
 /// What the gateway has counted since its start.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
@@ -168,6 +167,8 @@
     pub stop_at: f64,
     /// Time at which the core sent it, seconds.
     pub sent_at: f64,
+    /// How long its response has waited for memory of the gateway, seconds.
+    pub memory_wait: Cell<f64>,
     progress: Cell<Progress>,
     end: Cell<Option<ShotEnd>>,
     end_notify: Notify,
@@ -229,6 +230,7 @@
     shots: u32,
     /// The shot in flight.
     shot: Option<Rc<Shot>>,
+    _memory: MemoryPermit,
 }
 
 impl OpenTransaction {
@@ -373,7 +375,13 @@
         let core = core::scheduler_with_settings(now, config.seed, config.core.clone(), &mut actions);
         let descriptors =
             |share: f64| ((config.limits.sockets - RESERVED_DESCRIPTORS) as f64 * share) as usize;
-        let memory = config.limits.memory_mb * 1e6;
+        let max_upstream_connections = descriptors(NODE_SHARE).max(8);
+        let memory_limits = MemoryLimits::new(
+            config.limits.memory_mb * 1e6,
+            resident_bytes(),
+            descriptors(CLIENT_SHARE),
+            max_upstream_connections,
+        );
         let instance = Rc::new(RefCell::new(Instance {
             core,
             actions,
@@ -387,18 +395,15 @@
             replay_window: ReplayWindow::default(),
             clients: BTreeMap::new(),
             next_client: 1,
-            max_clients: descriptors(CLIENT_SHARE),
+            max_clients: memory_limits.max_clients,
             refusal_permit: Rc::default(),
             max_refusals: descriptors(REFUSAL_SHARE).max(MIN_REFUSALS),
             started: now,
             nodes: BTreeMap::new(),
             upstream_connections: Rc::default(),
-            max_upstream_connections: descriptors(NODE_SHARE).max(8),
+            max_upstream_connections,
             idle_reuse: IdleReuse::default(),
-            memory: MemoryAccount::with_limits(&[
-                (MemoryKind::RequestBody, (memory * BODY_MEMORY_SHARE) as usize),
-                (MemoryKind::ResponseBody, (memory * BODY_MEMORY_SHARE) as usize),
-            ]),
+            memory: MemoryAccount::new(memory_limits),
             list_index: config.initial_list.index,
             list_source: 0,
             newest_source: 0,
@@ -452,7 +457,7 @@
                 *self.counts.outcomes.entry(outcome_name(outcome)).or_default() += 1;
                 let ended = transaction.client.is_none();
                 let last = ended || outcome == Outcome::Settled;
-                let (id, latency) = (TransactionId(id), now - shot.sent_at);
+                let (id, latency) = (TransactionId(id), now - shot.sent_at - shot.memory_wait.get());
                 let node = &shot.node;
                 let load = &report.load;
                 self.core.shot_completed(
@@ -511,13 +516,16 @@
             return Err((503, "the process ends"));
         }
         let decoded = decode_transaction(&request, &self.config)?;
+        let head = encode_forwarded_head(&request);
+        let head_memory = self.memory.try_hold(MemoryKind::RequestHead, allocated_bytes(head.capacity()));
+        let head_memory = head_memory.ok_or((503, "no room for a head"))?;
+        let transaction_memory = self.memory.try_hold(MemoryKind::Transaction, TRANSACTION_BYTES);
+        let transaction_memory = transaction_memory.ok_or((503, "no room for a transaction"))?;
         let request_id =
             self.replay_window.open(&decoded.id).ok_or((409, "X-Request-ID is another request's"))?;
         let id = self.next_id;
         self.next_id += 1;
         let answer_slot = Rc::new(AnswerSlot::default());
-        let head = encode_forwarded_head(&request);
-        let head_memory = self.memory.hold(MemoryKind::RequestHead, head.capacity());
         let request = ForwardedRequest { head, body: request.body, _memory: [head_memory, memory] };
         self.open.insert(
             id,
@@ -535,6 +543,7 @@
                 request: Some(Rc::new(request)),
                 shots: 0,
                 shot: None,
+                _memory: transaction_memory,
             },
         );
         self.counts.transactions += 1;
@@ -580,11 +589,6 @@
         true
     }
 
-    /// The longest body of one response, bytes.
-    pub fn max_response_body(&self) -> usize {
-        (self.config.limits.memory_mb * 1e6 * RESPONSE_MEMORY_SHARE) as usize
-    }
-
     /// Whether no transaction is open and no client connected.
     pub fn is_quiescent(&self) -> bool {
         self.open.is_empty() && self.clients.is_empty()
@@ -604,6 +608,7 @@
             node,
             stop_at,
             sent_at: self.now,
+            memory_wait: Cell::new(0.0),
             progress: Cell::new(Progress::Connecting),
             end: Cell::new(None),
             end_notify: Notify::default(),
@@ -879,9 +884,7 @@
         self.counts.node_connections = self.upstream_connections.get();
         (self.counts.volumes, self.counts.keys) = self.core.tracked_counts();
         self.counts.descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
-        let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-        let pages = pages.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok()).unwrap_or(0);
-        self.counts.resident_kb = pages * 4;
+        self.counts.resident_kb = resident_bytes() >> 10;
         self.counts.memory = self.memory.take_summary();
         self.counts.polls = take_summary();
         let counts = self.counts.clone();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! the core requests are executed there too; [`outcome`] maps how a shot ended to the core's outcome. This crate takes no
 //! scheduling decisions.
 
+mod allocator;
 pub mod config;
 mod discovery;
 mod front;
@@ -77,6 +78,7 @@
 
 /// Runs one gateway until SIGTERM and returns its counts.
 pub fn run(config: Config) -> io::Result<Counts> {
+    allocator::configure();
     let signals = Signals::new([Signal::Term, Signal::Hup])?;
     let listener = listen(&config)?;
     let executor = Rc::new(LocalExecutor::new());
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -12,7 +12,7 @@
 use async_io::Async;
 use futures_lite::future::pending;
 use futures_lite::FutureExt;
-use quaypath_http::{DecodeError, ResponseDecoder, ResponseHead, ResponsePart};
+use quaypath_http::{DecodeError, ResponseDecoder, ResponseHead, ResponsePart, MAX_BODY_BYTES};
 use quaypath_initiator::event_loop::{read_some, run_turn, unread_bytes, with_timeout, Driver, Received};
 use quaypath_initiator::outcome::Progress;
 
@@ -20,7 +20,7 @@
 use crate::headers::{self, NodeReport};
 use crate::idle_reuse::MIN_IDLE_TIME;
 use crate::instance::{ForwardedRequest, Node, Shot, WeakInstance};
-use crate::memory::{MemoryKind, MemoryPermit};
+use crate::memory::{allocated_bytes, MemoryAccount, MemoryKind, MemoryPermit, SMALL_BYTES};
 use crate::outcome::ShotEnd;
 use crate::{vectored, MAX_READ_BYTES};
 
@@ -31,6 +31,14 @@
 /// lost half a second after its time.
 const LAST_READ_TIMEOUT: f64 = 0.1;
 
+/// Length of the first read of a response, bytes: its head, and all of a short response. The rest stays in the kernel until
+/// there is memory for it.
+const FIRST_READ_BYTES: usize = SMALL_BYTES;
+
+/// The reason why a response for which there is no memory fails.
+const NO_MEMORY_FOR_RESPONSE: DecodeError =
+    DecodeError { status: 502, reason: "no memory left for the response" };
+
 /// A connection to a node. It is counted in the number of all connections to nodes until it is dropped.
 pub struct UpstreamConnection {
     stream: Async<TcpStream>,
@@ -126,29 +134,83 @@
     body: Vec<u8>,
     complete: bool,
     /// Memory of the body.
-    memory: MemoryPermit,
+    body_memory: MemoryPermit,
     /// Memory of the decoder.
     buffer_memory: MemoryPermit,
 }
 
+/// How far a response has been received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reception {
+    Incomplete,
+    /// The head is complete, and decoding goes on once this many bytes of memory are reserved for the body.
+    NeedsMemory(usize),
+    Complete,
+}
+
 impl IncomingResponse {
-    /// Decodes received bytes; true once the response is complete.
-    fn receive(&mut self, bytes: &[u8]) -> Result<bool, DecodeError> {
+    fn new(account: &MemoryAccount) -> Self {
+        IncomingResponse {
+            decoder: ResponseDecoder::new(account.limits().max_response_body),
+            head: None,
+            body: Vec::new(),
+            complete: false,
+            body_memory: account.hold(MemoryKind::ResponseBody, 0),
+            buffer_memory: account.hold(MemoryKind::ResponseBuffer, 0),
+        }
+    }
+
+    /// Decodes received bytes.
+    fn receive(&mut self, bytes: &[u8]) -> Result<Reception, DecodeError> {
         self.decoder.feed(bytes);
-        self.buffer_memory.resize(self.decoder.memory_bytes());
+        let reception = self.decode()?;
+        if !self.buffer_memory.try_resize(allocated_bytes(self.decoder.memory_bytes())) {
+            return Err(NO_MEMORY_FOR_RESPONSE);
+        }
+        Ok(reception)
+    }
+
+    /// Goes on with decoding after the memory for the body was reserved.
+    fn resume(&mut self, body_memory: MemoryPermit) -> Result<Reception, DecodeError> {
+        self.body.reserve_exact(self.first_body_capacity());
+        self.body_memory = body_memory;
+        self.decode()
+    }
+
+    fn decode(&mut self) -> Result<Reception, DecodeError> {
         while let Some(part) = self.decoder.poll()? {
             match part {
-                ResponsePart::Head(head) => self.head = Some(head),
-                ResponsePart::Body(bytes) if self.memory.try_grow(bytes.len()) => {
-                    self.body.extend_from_slice(&bytes)
-                }
-                ResponsePart::Body(_) => {
-                    return Err(DecodeError { status: 502, reason: "no memory left for the response" })
+                ResponsePart::Head(head) => {
+                    self.head = Some(head);
+                    let capacity = self.first_body_capacity();
+                    if capacity > SMALL_BYTES {
+                        return Ok(Reception::NeedsMemory(allocated_bytes(capacity)));
+                    }
+                    self.body.reserve_exact(capacity);
                 }
+                ResponsePart::Body(bytes) => self.append_to_body(&bytes)?,
                 ResponsePart::End => self.complete = true,
             }
         }
-        Ok(self.complete)
+        Ok(if self.complete { Reception::Complete } else { Reception::Incomplete })
+    }
+
+    /// The capacity of the body for which memory is reserved when its head is received, bytes. More of it has to be sent
+    /// before more is reserved.
+    fn first_body_capacity(&self) -> usize {
+        self.decoder.announced_body().unwrap_or(MAX_BODY_BYTES).min(MAX_BODY_BYTES)
+    }
+
+    fn append_to_body(&mut self, bytes: &[u8]) -> Result<(), DecodeError> {
+        let spare = self.body.capacity() - self.body.len();
+        if bytes.len() > spare {
+            self.body.reserve_exact(bytes.len().max(MAX_BODY_BYTES));
+        }
+        if !self.body_memory.try_resize(allocated_bytes(self.body.capacity())) {
+            return Err(NO_MEMORY_FOR_RESPONSE);
+        }
+        self.body.extend_from_slice(bytes);
+        Ok(())
     }
 
     /// Records that the node has closed its side of the connection in order; true if the response is complete.
@@ -251,18 +313,45 @@
         }
     };
     // A response may arrive before the request is fully sent. It ends the shot as well.
-    let reading = async {
-        loop {
-            match read_some(&upstream.stream, MAX_READ_BYTES, |bytes| incoming.receive(bytes)).await {
-                Ok(Received::Bytes(Ok(false))) => {}
-                Ok(Received::Bytes(Ok(true))) => return end_of_response(incoming),
-                Ok(Received::Bytes(Err(_))) => return ShotEnd::InvalidResponse,
+    writing.or(receive_response(instance, shot, upstream, incoming)).await
+}
+
+/// Receives the response of a shot.
+async fn receive_response(
+    instance: &WeakInstance, shot: &Shot, upstream: &UpstreamConnection, incoming: &mut IncomingResponse,
+) -> ShotEnd {
+    loop {
+        let max_bytes = if incoming.head.is_none() { FIRST_READ_BYTES } else { MAX_READ_BYTES };
+        let mut reception =
+            match read_some(&upstream.stream, max_bytes, |bytes| incoming.receive(bytes)).await {
+                Ok(Received::Bytes(reception)) => reception,
                 Ok(Received::End) if incoming.finish() => return end_of_response(incoming),
                 Ok(Received::End) | Err(_) => return ShotEnd::ConnectionLost,
-            }
+            };
+        if let Ok(Reception::NeedsMemory(bytes)) = reception {
+            let Some(permit) = wait_for_memory(instance, shot, bytes).await else {
+                return ShotEnd::ConnectionLost;
+            };
+            reception = incoming.resume(permit);
+        }
+        match reception {
+            Ok(Reception::Complete) => return end_of_response(incoming),
+            Ok(_) => {}
+            Err(_) => return ShotEnd::InvalidResponse,
         }
+    }
+}
+
+/// Reserves the memory for the body of a response; `None` if the gateway has ended.
+async fn wait_for_memory(instance: &WeakInstance, shot: &Shot, bytes: usize) -> Option<MemoryPermit> {
+    let (account, began) = {
+        let this = instance.upgrade()?;
+        let this = this.borrow();
+        (this.memory.clone(), this.clock_now())
     };
-    writing.or(reading).await
+    let permit = account.hold_response(bytes).await;
+    shot.memory_wait.set(instance.upgrade()?.borrow().clock_now() - began);
+    Some(permit)
 }
 
 fn end_of_response(incoming: &IncomingResponse) -> ShotEnd {
@@ -274,14 +363,20 @@
 /// attributed to the node. What arrives from then on is late, and a node that sends without end must not occupy the event
 /// loop, so this reads only the number of bytes that the kernel held at that moment. The socket's buffer bounds that number,
 /// and other tasks run between the reads.
-async fn read_arrived(upstream: &UpstreamConnection, incoming: &mut IncomingResponse) -> Option<ShotEnd> {
+async fn read_arrived(
+    account: &MemoryAccount, upstream: &UpstreamConnection, incoming: &mut IncomingResponse,
+) -> Option<ShotEnd> {
     let mut remaining = unread_bytes(upstream.stream.get_ref()).ok()?;
     while remaining > 0 {
         let receive = |bytes: &[u8]| (bytes.len(), incoming.receive(bytes));
-        match read_some(&upstream.stream, MAX_READ_BYTES.min(remaining), receive).await {
-            Ok(Received::Bytes((_, Ok(true)))) => return Some(end_of_response(incoming)),
-            Ok(Received::Bytes((count, Ok(false)))) => remaining -= count,
-            _ => return None,
+        let received = read_some(&upstream.stream, MAX_READ_BYTES.min(remaining), receive).await.ok()?;
+        let Received::Bytes((count, mut reception)) = received else { return None };
+        if let Ok(Reception::NeedsMemory(bytes)) = reception {
+            reception = incoming.resume(account.try_hold(MemoryKind::ResponseBody, bytes)?);
+        }
+        match reception.ok()? {
+            Reception::Complete => return Some(end_of_response(incoming)),
+            _ => remaining -= count,
         }
     }
     let closed = matches!(upstream.stream.get_ref().peek(&mut [0]), Ok(0));
@@ -290,33 +385,23 @@
 
 /// Reads what had arrived, for as long as that may delay the final answer.
 async fn read_arrived_in_time(
-    upstream: Option<&UpstreamConnection>, incoming: &mut IncomingResponse,
+    account: &MemoryAccount, upstream: Option<&UpstreamConnection>, incoming: &mut IncomingResponse,
 ) -> Option<ShotEnd> {
     let upstream = upstream?;
-    with_timeout(LAST_READ_TIMEOUT, async { Ok(read_arrived(upstream, incoming).await) }).await.ok().flatten()
+    let reading = async { Ok(read_arrived(account, upstream, incoming).await) };
+    with_timeout(LAST_READ_TIMEOUT, reading).await.ok().flatten()
 }
 
 /// The task of one shot: sends it, receives the response and reports the outcome to the instance.
 pub async fn run_shot(instance: WeakInstance, shot: Rc<Shot>, request: Rc<ForwardedRequest>) {
-    let Some((account, max_body)) =
-        instance.upgrade().map(|this| (this.borrow().memory.clone(), this.borrow().max_response_body()))
-    else {
-        return;
-    };
-    let mut incoming = IncomingResponse {
-        decoder: ResponseDecoder::new(max_body),
-        head: None,
-        body: Vec::new(),
-        complete: false,
-        memory: account.hold(MemoryKind::ResponseBody, 0),
-        buffer_memory: account.hold(MemoryKind::ResponseBuffer, 0),
-    };
+    let Some(account) = instance.upgrade().map(|this| this.borrow().memory.clone()) else { return };
+    let mut incoming = IncomingResponse::new(&account);
     let mut used = None;
     // An end from this side is checked first, so that nothing is sent for a client that has disconnected.
     let mut end =
         shot.ended().or(send_and_receive(&instance, &shot, request, &mut used, &mut incoming)).await;
     if end == ShotEnd::TimedOut && shot.progress() == Progress::Sent {
-        end = read_arrived_in_time(used.as_ref(), &mut incoming).await.unwrap_or(end);
+        end = read_arrived_in_time(&account, used.as_ref(), &mut incoming).await.unwrap_or(end);
     }
     let Some(this) = instance.upgrade() else { return };
     let idle_time = used.as_ref().and_then(|upstream| upstream.idle_time);
@@ -331,7 +416,11 @@
             let content_type = head.headers.single("content-type").map(String::from);
             (
                 report,
-                Some(FinalAnswer::Settled(content_type, std::mem::take(&mut incoming.body), incoming.memory)),
+                Some(FinalAnswer::Settled(
+                    content_type,
+                    std::mem::take(&mut incoming.body),
+                    incoming.body_memory,
+                )),
             )
         }
         None => (NodeReport::default(), None),
--- a/crates/programs/tests/memory.rs
+++ b/crates/programs/tests/memory.rs
@@ -3,15 +3,18 @@
 
 mod rig;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Barrier};
+use std::sync::{Arc, Barrier, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rig::{exchange, node_list, put_request, request_id, write_response, Discovery, Gateway, Node};
+use rig::{
+    exchange, node_list, put_request, request_id, wait_until, write_response, Discovery, Gateway, Node,
+};
 use serde_json::json;
+use test_case::test_case;
 
 /// The least memory of the platform, megabytes, and the most descriptors that come with it.
 const MEMORY_MB: usize = 32;
@@ -21,6 +24,11 @@
 /// Number of nodes, each of which holds a block of its own. The usual clients use the first ones, the flood the others.
 const NODES: usize = 30;
 const USUAL_CLIENTS: usize = 10;
+/// How long the usual clients are served beside a flood.
+const FLOOD_TIME: Duration = Duration::from_secs(4);
+
+/// Held by one test at a time: each has hundreds of clients.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 /// Script: an answer of 60 KB, to clients of a flood after a time in which all of them can send.
 fn answer_long(_: usize, stream: &mut TcpStream, head: &str) -> bool {
@@ -29,15 +37,15 @@
     write_response(stream, "200 OK", &"a".repeat(60_000))
 }
 
-/// A gateway with the least memory of the platform, and its nodes.
+/// A gateway with little memory, and its nodes.
 struct SmallGateway {
     gateway: Gateway,
-    _nodes: Vec<Node>,
+    nodes: Vec<Node>,
     _discovery: Discovery,
 }
 
 impl SmallGateway {
-    fn start(script: rig::Script) -> Self {
+    fn start(memory_mb: usize, script: rig::Script) -> Self {
         let nodes: Vec<Node> = (0..NODES).map(|_| Node::start(script)).collect();
         let names: Vec<String> = (0..NODES).map(|block| format!("s-{block}")).collect();
         let entries: Vec<_> = names
@@ -49,10 +57,10 @@
         (0..NODES).for_each(|block| list["endpoints"][block]["group"] = json!(block));
         let discovery = Discovery::start(list.clone());
         let gateway = Gateway::start(&list, discovery.address, |config| {
-            config["limits"] = json!({"memory_mb": MEMORY_MB, "sockets": DESCRIPTORS});
+            config["limits"] = json!({"memory_mb": memory_mb, "sockets": DESCRIPTORS});
             config["settings"]["FamilyInfo"]["NShards"] = json!(NODES);
         });
-        SmallGateway { gateway, _nodes: nodes, _discovery: discovery }
+        SmallGateway { gateway, nodes, _discovery: discovery }
     }
 }
 
@@ -82,37 +90,71 @@
     })
 }
 
-/// A request of a flood client whose head is padded to 16 KB, with a body of this length.
-fn long_request(client: usize, number: usize, body_length: usize) -> String {
+/// A short request of a flood client.
+fn flood_request(client: usize, number: usize) -> String {
     let block = USUAL_CLIENTS + client % (NODES - USUAL_CLIENTS);
-    let padding: String = (0..38).map(|number| format!("X-Pad-{number}: {}\r\n", "p".repeat(400))).collect();
     put_request("lookup", &format!("flood{client}-{number}"), "1200m")
         .replace("shard=3", &format!("shard={block}"))
+}
+
+/// A request of a flood client whose head is padded to 16 KB, with a body of this length.
+fn long_request(client: usize, number: usize, body_length: usize) -> String {
+    let padding: String = (0..38).map(|number| format!("X-Pad-{number}: {}\r\n", "p".repeat(400))).collect();
+    flood_request(client, number)
         .replace("Content-Length: 4\r\n", &format!("Content-Length: {body_length}\r\n{padding}"))
         .replace("\r\n\r\nbody", &format!("\r\n\r\n{}", "b".repeat(body_length)))
 }
 
-/// Sends the bytes on a new connection once all clients wait at the barrier, and reads whatever arrives until the
-/// connection ends. The thread returns the number of bytes received.
-fn send_and_read_on(gateway: &Gateway, bytes: Vec<u8>, barrier: &Arc<Barrier>) -> thread::JoinHandle<usize> {
-    let (mut stream, barrier) = (gateway.connect(), barrier.clone());
-    let mut reader = stream.try_clone().expect("a socket");
-    let spawn = || thread::Builder::new().stack_size(64 << 10);
-    let send = move || {
+/// Sends each message on a new connection once all clients wait at the barrier, and reads whatever arrives: up to the first
+/// answer, and behind the last message until the connection ends or nothing more arrives. The thread returns whether each
+/// message was answered or its connection closed.
+fn send_and_read_on(
+    gateway: &Gateway, messages: Vec<Vec<u8>>, barrier: &Arc<Barrier>,
+) -> thread::JoinHandle<bool> {
+    let (mut stream, address, barrier) = (gateway.connect(), gateway.address, barrier.clone());
+    let run = move || {
         barrier.wait();
-        let _ = stream.write_all(&bytes);
+        let mut all_ended = true;
+        for (number, message) in messages.iter().enumerate() {
+            if number > 0 {
+                stream = TcpStream::connect(address).expect("the gateway listens");
+            }
+            all_ended &= send_and_read(&stream, message, number + 1 == messages.len());
+        }
+        all_ended
     };
-    let writer = spawn().spawn(send).expect("a thread");
-    spawn()
-        .spawn(move || {
-            let (mut buffer, mut received) = ([0; 4096], 0);
-            while let Ok(count @ 1..) = reader.read(&mut buffer) {
-                received += count;
+    thread::Builder::new().stack_size(128 << 10).spawn(run).expect("a thread")
+}
+
+/// Sends the message and reads up to the first answer, or as long as anything arrives; then closes the connection. Returns
+/// whether it was answered or closed by the gateway.
+fn send_and_read(mut stream: &TcpStream, message: &[u8], to_the_end: bool) -> bool {
+    stream.set_read_timeout(Some(FLOOD_TIME)).expect("a timeout");
+    stream.set_write_timeout(Some(FLOOD_TIME)).expect("a timeout");
+    let mut reader = stream.try_clone().expect("a socket");
+    let (mut received, mut closed) = (false, false);
+    thread::scope(|scope| {
+        let writer = thread::Builder::new().stack_size(64 << 10);
+        let _ = writer.spawn_scoped(scope, || stream.write_all(message)).expect("a thread");
+        let mut buffer = [0; 4096];
+        let mut answered = false;
+        while to_the_end || !answered {
+            match reader.read(&mut buffer) {
+                Ok(count @ 1..) => {
+                    received = true;
+                    answered = matches!(buffer[count - 1], b'a' | b'\n');
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Ok(_) | Err(_) => {
+                    closed = true;
+                    break;
+                }
             }
-            writer.join().expect("no panic");
-            received
-        })
-        .expect("a thread")
+        }
+        // Ends the write as well.
+        let _ = reader.shutdown(Shutdown::Both);
+    });
+    received || closed
 }
 
 /// How many requests of usual clients were sent, and how many of them were served.
@@ -122,8 +164,8 @@
     served: AtomicUsize,
 }
 
-/// Usual clients, each with a node of its own, send short requests one after the other for this long.
-fn run_usual_clients(gateway: &Gateway, time: Duration) -> UsualRequests {
+/// Usual clients, each with a node of its own, send short requests one after the other.
+fn run_usual_clients(gateway: &Gateway) -> UsualRequests {
     let requests = UsualRequests::default();
     thread::scope(|scope| {
         for client in 0..USUAL_CLIENTS {
@@ -131,7 +173,7 @@
             scope.spawn(move || {
                 let (mut stream, began) = (gateway.connect(), Instant::now());
                 for number in 0.. {
-                    if began.elapsed() >= time {
+                    if began.elapsed() >= FLOOD_TIME {
                         break;
                     }
                     let request = put_request("lookup", &format!("usual{client}-{number}"), "1200m")
@@ -151,31 +193,111 @@
     requests
 }
 
-/// Guards against the kill for memory under hundreds of clients with long requests (docs/incidents/memory-flood.md): copies
-/// of each request and answer took the process over its limit, although the bodies kept to their budget.
-#[test]
-fn long_requests_of_many_clients_stay_within_the_memory() {
-    let small = SmallGateway::start(answer_long);
+/// What the clients of a flood do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Flood {
+    /// They send three long requests at once.
+    LongRequests,
+    /// They send a long head without its end.
+    UnfinishedHeads,
+    /// They send short requests ahead, until the buffer of the connection is full.
+    RequestsSentAhead,
+    /// They send requests one after the other, the later the longer.
+    GrowingRequests,
+}
+
+impl Flood {
+    /// What one client sends on one connection after the other.
+    fn messages(self, client: usize) -> Vec<Vec<u8>> {
+        let request = |number, body_length| long_request(client, number, body_length).into_bytes();
+        match self {
+            Flood::LongRequests => vec![(0..3).flat_map(|number| request(number, 15_000)).collect()],
+            Flood::UnfinishedHeads => {
+                let mut head = request(0, 0);
+                head.truncate(head.len() - 2);
+                vec![head]
+            }
+            Flood::RequestsSentAhead => {
+                vec![(0..50).flat_map(|number| flood_request(client, number).into_bytes()).collect()]
+            }
+            Flood::GrowingRequests => {
+                (1..8).map(|number| request(number, (9 << 10) * number - 512)).collect()
+            }
+        }
+    }
+}
+
+/// Guards against the kill for memory under hundreds of clients that send or ask for much (docs/incidents/memory-flood.md):
+/// copies of each request and answer took the process over its limit, although the bodies kept to their budget.
+#[test_case(Flood::LongRequests)]
+#[test_case(Flood::UnfinishedHeads)]
+#[test_case(Flood::RequestsSentAhead)]
+#[test_case(Flood::GrowingRequests)]
+fn a_flood_of_many_clients_stays_within_the_memory(flood: Flood) {
+    let _one_at_a_time = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let small = SmallGateway::start(MEMORY_MB, answer_long);
     let gateway = &small.gateway;
     let process = gateway.child.id();
     let before = resident_bytes(process);
     let mut usual = UsualRequests::default();
     let peak = measure_peak_memory(process, || {
         let barrier = Arc::new(Barrier::new(FLOOD_CLIENTS));
-        let flood: Vec<_> = (0..FLOOD_CLIENTS)
-            .map(|client| {
-                let request = |number| long_request(client, number, 15_000);
-                let bytes = (0..3).flat_map(|number| request(number).into_bytes()).collect();
-                send_and_read_on(gateway, bytes, &barrier)
-            })
+        let clients: Vec<_> = (0..FLOOD_CLIENTS)
+            .map(|client| send_and_read_on(gateway, flood.messages(client), &barrier))
             .collect();
-        usual = run_usual_clients(gateway, Duration::from_secs(4));
-        let received: usize = flood.into_iter().map(|client| client.join().expect("no panic")).sum();
-        assert!(received > 0, "the flood had no answer at all");
+        usual = run_usual_clients(gateway);
+        for client in clients {
+            assert!(client.join().expect("no panic"), "a message had no answer, no error and no close");
+        }
     });
     let (sent, served) = (usual.sent.into_inner(), usual.served.into_inner());
-    println!("{before} bytes before, {peak} at most; {served} of {sent} usual requests served");
+    println!("{flood:?}: {before} bytes before, {peak} at most; {served} of {sent} usual requests served");
     gateway.print_long_polls();
     assert!(peak <= MEMORY_MB * 1_000_000, "{peak} bytes");
     assert!(10 * served >= 9 * sent, "{served} of {sent}");
 }
+
+/// Set once the nodes of [`answer_when_released`] may answer.
+static RELEASED: AtomicBool = AtomicBool::new(false);
+
+/// Script: the longest answer of the platform, once the test releases all of them.
+fn answer_when_released(_: usize, stream: &mut TcpStream, _: &str) -> bool {
+    while !RELEASED.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(5));
+    }
+    write_response(stream, "200 OK", &"a".repeat(64 << 10))
+}
+
+/// Guards against answers that fail because others came at the same time: they wait for memory, and are served whole.
+#[test]
+fn answers_that_arrive_at_once_wait_for_memory() {
+    const ANSWERS: usize = 120;
+    let _one_at_a_time = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    // In the debug build, little more than the program itself takes.
+    let small = SmallGateway::start(20, answer_when_released);
+    let gateway = &small.gateway;
+    let mut clients: Vec<TcpStream> = (0..ANSWERS).map(|_| gateway.connect()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.write_all(flood_request(number, 0).as_bytes()).expect("sent");
+    }
+    let received = || small.nodes.iter().map(Node::request_count).sum::<usize>();
+    wait_until("the nodes have the requests", || received() == ANSWERS);
+    gateway.while_stopped(|| {
+        RELEASED.store(true, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(300));
+    });
+    let answers: Vec<(u16, usize)> = clients
+        .iter_mut()
+        .map(|client| {
+            let (status, _, body) = exchange(client, "");
+            (status, body.len())
+        })
+        .collect();
+    gateway.send_signal(rustix::process::Signal::TERM);
+    wait_until("the last counts", || gateway.has_logged("counts="));
+    gateway.print_long_polls();
+    assert!(answers.iter().all(|answer| *answer == (200, 64 << 10)), "{answers:?}");
+    let counts = gateway.log_lines_with("counts=").pop().expect("counts");
+    let (_, waited) = counts.split_once("\\\"waited\\\":").expect("the count of waiting responses");
+    assert!(!waited.starts_with("0,"), "no response waited");
+}
