Volumes that clients name no longer take the gateway over its memory

Cause: the core evicts volumes by idle time only, and nothing bounded their number. From three quarters of it on the least recently used volumes go where their limit is full again and no transaction is open, so that no limit is passed; at the bound requests of unknown volumes are refused with 503 before the core. Not bounded by number: ordering keys of known volumes; they go every quarter of a second once their quiet period is over.

--- a/crates/initiator/src/core.rs
+++ b/crates/initiator/src/core.rs
@@ -98,6 +98,12 @@
     fn timer_fired(&mut self, now: f64, tag: u64, out: &mut Actions);
     /// Numbers of volumes and of ordering keys that are tracked.
     fn tracked_counts(&self) -> (usize, usize);
+    /// Whether this volume is tracked.
+    fn tracks_volume(&self, _name: &VolumeId) -> bool {
+        true
+    }
+    /// Evicts volumes beyond `max_volumes` as far as nothing is lost with them.
+    fn evict_volumes(&mut self, _now: f64, _max_volumes: usize) {}
     /// Limits whose units may be lent and borrowed between initiators; empty when there are none.
     fn limit_balances(&mut self, _now: f64) -> Vec<LimitBalance> {
         Vec::new()
@@ -163,6 +169,12 @@
     fn tracked_counts(&self) -> (usize, usize) {
         Scheduler::tracked_counts(self)
     }
+    fn tracks_volume(&self, name: &VolumeId) -> bool {
+        Scheduler::tracks_volume(self, name)
+    }
+    fn evict_volumes(&mut self, now: f64, max_volumes: usize) {
+        Scheduler::evict_volumes(self, now, max_volumes);
+    }
     fn limit_balances(&mut self, now: f64) -> Vec<LimitBalance> {
         Scheduler::limit_balances(self, now)
     }
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -44,6 +44,11 @@
 /// Interval of the check of idle connections, seconds.
 const SWEEP_INTERVAL: f64 = 0.25;
 
+/// Shares of the volumes that the memory allows: from the first on, volumes are evicted before they are idle, down to the
+/// second.
+const EVICTION_START: f64 = 0.75;
+const EVICTION_END: f64 = 0.5;
+
 /// How long a removed node is remembered, seconds: no list is older than this.
 const REMOVED_NODE_RETENTION: f64 = 60.0;
 /// Descriptors that are not available for clients and nodes: three for the standard streams, three for the reactor, three
@@ -516,6 +521,10 @@
             return Err((503, "the process ends"));
         }
         let decoded = decode_transaction(&request, &self.config)?;
+        let volume = VolumeId(Arc::from(decoded.volume));
+        if self.tracked_volumes() >= self.memory.limits().max_volumes && !self.core.tracks_volume(&volume) {
+            return Err((503, "no room for another volume"));
+        }
         let head = encode_forwarded_head(&request);
         let head_memory = self.memory.try_hold(MemoryKind::RequestHead, allocated_bytes(head.capacity()));
         let head_memory = head_memory.ok_or((503, "no room for a head"))?;
@@ -534,7 +543,7 @@
                 client: Some(answer_slot.clone()),
                 band: decoded.band,
                 plan: decoded.plan,
-                volume: VolumeId(Arc::from(decoded.volume)),
+                volume,
                 extent: ExtentId(Arc::from(decoded.extent)),
                 block: decoded.block,
                 initiators: decoded.initiators,
@@ -551,6 +560,12 @@
         Ok((id, answer_slot))
     }
 
+    /// Number of volumes and keys that the core tracks, as a measure of its memory.
+    fn tracked_volumes(&self) -> usize {
+        let (volumes, keys) = self.core.tracked_counts();
+        volumes + keys
+    }
+
     /// Records that the client of a transaction has disconnected before the final answer.
     pub fn client_cancelled(&mut self, id: u64) {
         let Some(transaction) = self.open.get_mut(&id).filter(|transaction| transaction.client.is_some())
@@ -872,6 +887,10 @@
         let node_idle_timeout = self.config.transport.node_idle_timeout;
         let now = self.now;
         self.nodes.values_mut().for_each(|node| node.pool.sweep(now, node_idle_timeout));
+        let max_volumes = self.memory.limits().max_volumes;
+        if self.tracked_volumes() as f64 > EVICTION_START * max_volumes as f64 {
+            self.core.evict_volumes(now, (EVICTION_END * max_volumes as f64) as usize);
+        }
         // Clients may open as many connections as the gateway allows and abandon some of them, which would keep new ones out.
         let under_pressure = 2 * self.clients.len() > self.max_clients;
         self.close_idle(if under_pressure { IDLE_TIMEOUT_UNDER_PRESSURE } else { IDLE_TIMEOUT });
--- a/crates/programs/tests/memory.rs
+++ b/crates/programs/tests/memory.rs
@@ -19,6 +19,8 @@
 /// The least memory of the platform, megabytes, and the most descriptors that come with it.
 const MEMORY_MB: usize = 32;
 const DESCRIPTORS: usize = 1024;
+/// In the debug build, little more than the program itself takes, megabytes.
+const LITTLE_MEMORY_MB: usize = 20;
 /// Number of clients of a flood: nearly as many as the gateway allows with these descriptors.
 const FLOOD_CLIENTS: usize = 420;
 /// Number of nodes, each of which holds a block of its own. The usual clients use the first ones, the flood the others.
@@ -273,8 +275,7 @@
 fn answers_that_arrive_at_once_wait_for_memory() {
     const ANSWERS: usize = 120;
     let _one_at_a_time = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-    // In the debug build, little more than the program itself takes.
-    let small = SmallGateway::start(20, answer_when_released);
+    let small = SmallGateway::start(LITTLE_MEMORY_MB, answer_when_released);
     let gateway = &small.gateway;
     let mut clients: Vec<TcpStream> = (0..ANSWERS).map(|_| gateway.connect()).collect();
     for (number, client) in clients.iter_mut().enumerate() {
@@ -301,3 +302,50 @@
     let (_, waited) = counts.split_once("\\\"waited\\\":").expect("the count of waiting responses");
     assert!(!waited.starts_with("0,"), "no response waited");
 }
+
+/// Guards against memory that grows with the volumes that clients name: the core keeps each for a minute or two, and tens of
+/// thousands of them took the process over its limit.
+#[test]
+fn a_flood_of_volumes_stays_within_the_memory() {
+    const CLIENTS: usize = 40;
+    /// What the core keeps of a volume, at least.
+    const LEAST_VOLUME_BYTES: usize = 800;
+    let _one_at_a_time = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let small = SmallGateway::start(LITTLE_MEMORY_MB, rig::answer_ok);
+    let gateway = &small.gateway;
+    let mut usual = UsualRequests::default();
+    let (mut volumes, sent) = (0, AtomicUsize::new(0));
+    let stop = AtomicBool::new(false);
+    let before = resident_bytes(gateway.child.id());
+    let peak = measure_peak_memory(gateway.child.id(), || {
+        thread::scope(|scope| {
+            for client in 0..CLIENTS {
+                let (sent, stop) = (&sent, &stop);
+                scope.spawn(move || {
+                    let mut stream = gateway.connect();
+                    while !stop.load(Ordering::SeqCst) {
+                        let number = sent.fetch_add(1, Ordering::SeqCst);
+                        let request = flood_request(client, number)
+                            .replace("volume=00000003b4d60021", &format!("volume={:016x}", number + 1));
+                        let (status, head, _) = exchange(&mut stream, &request);
+                        assert!(matches!(status, 200 | 503), "{status}: {head}");
+                        if head.contains("Connection: close") {
+                            stream = gateway.connect();
+                        }
+                    }
+                });
+            }
+            // The volume of the usual clients is known by then.
+            usual = run_usual_clients(gateway);
+            wait_until("the volumes would pass the limit", || {
+                volumes = sent.load(Ordering::SeqCst);
+                before + volumes * LEAST_VOLUME_BYTES > LITTLE_MEMORY_MB * 1_000_000
+            });
+            stop.store(true, Ordering::SeqCst);
+        });
+    });
+    let (sent, served) = (usual.sent.into_inner(), usual.served.into_inner());
+    println!("{peak} bytes at most with {volumes} volumes; {served} of {sent} usual requests served");
+    assert!(peak <= LITTLE_MEMORY_MB * 1_000_000, "{peak} bytes");
+    assert!(10 * served >= 9 * sent, "{served} of {sent}");
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -409,18 +409,65 @@
         (self.volumes.len(), self.key_queues.len())
     }
 
+    /// Whether this volume is tracked.
+    pub fn tracks_volume(&self, name: &VolumeId) -> bool {
+        self.volumes.contains_key(name)
+    }
+
+    /// For a caller whose memory is bounded: evicts the least recently used volumes beyond `max_volumes` before they are idle,
+    /// as far as no transaction uses them and their limit is full again, and the keys whose quiet period has ended.
+    pub fn evict_volumes(&mut self, now: f64, max_volumes: usize) {
+        let excess = self.volumes.len().saturating_sub(max_volumes);
+        let in_use = self.volumes_in_use();
+        let evictable = |(name, volume): &(&VolumeId, &Volume)| {
+            !in_use.contains(name) && now - volume.reserve_filled_at >= self.limit_fill_time(volume)
+        };
+        let mut candidates: Vec<(f64, VolumeId)> = self
+            .volumes
+            .iter()
+            .filter(evictable)
+            .map(|(name, volume)| (volume.reserve_filled_at, name.clone()))
+            .collect();
+        candidates.sort_by(|left, right| left.0.total_cmp(&right.0));
+        for (_, name) in candidates.into_iter().take(excess) {
+            self.volumes.remove(&name);
+            for node in self.nodes.values_mut() {
+                node.usage_reported_at.remove(&name);
+            }
+        }
+        self.evict_quiet_keys(now);
+    }
+
+    fn volumes_in_use(&self) -> BTreeSet<VolumeId> {
+        self.transactions.values().map(|transaction| transaction.volume.clone()).collect()
+    }
+
+    /// Time after its last use within which the limit of a volume is full again, seconds.
+    fn limit_fill_time(&self, volume: &Volume) -> f64 {
+        let plan = &self.settings.plans[volume.plan.0];
+        if plan.limit > 0.0 {
+            2.0 * plan.burst / plan.limit
+        } else {
+            0.0
+        }
+    }
+
+    fn evict_quiet_keys(&mut self, now: f64) {
+        self.key_queues.retain(|_, key_queue| !key_queue.queue.is_empty() || now < key_queue.quiet_until);
+    }
+
     /// Bounds the memory: evicts idle volumes whose limit is full again, keys whose quiet period has ended, and old
     /// usage reports.
     fn evict_idle(&mut self, now: f64) {
         self.last_eviction_at = now;
-        let in_use: BTreeSet<&VolumeId> =
-            self.transactions.values().map(|transaction| &transaction.volume).collect();
-        self.volumes.retain(|name, volume| {
-            let plan = &self.settings.plans[volume.plan.0];
-            let fill_time = if plan.limit > 0.0 { 2.0 * plan.burst / plan.limit } else { 0.0 };
-            in_use.contains(name) || now - volume.reserve_filled_at < fill_time.max(IDLE_SECONDS)
+        let mut volumes = std::mem::take(&mut self.volumes);
+        let in_use = self.volumes_in_use();
+        volumes.retain(|name, volume| {
+            let retention = self.limit_fill_time(volume).max(IDLE_SECONDS);
+            in_use.contains(name) || now - volume.reserve_filled_at < retention
         });
-        self.key_queues.retain(|_, key_queue| !key_queue.queue.is_empty() || now < key_queue.quiet_until);
+        self.volumes = volumes;
+        self.evict_quiet_keys(now);
         self.nodes.values_mut().for_each(|node| {
             node.usage_reported_at.retain(|_, reported_at| now - *reported_at < IDLE_SECONDS)
         });
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -480,3 +480,31 @@
     let (volumes, keys) = initiator.scheduler.tracked_counts();
     assert!(volumes < 200 && keys < 200, "{volumes} volumes, {keys} keys");
 }
+
+/// Guards against memory that grows with the volumes that clients name, and against a limit that an evicted volume passes:
+/// the least recently used go first, those in use and those whose limit is not full again stay.
+#[test]
+fn volumes_are_evicted_early_only_where_nothing_is_lost() {
+    let mut initiator = one_node(settings());
+    let mut use_volume = |initiator: &mut TestInitiator, at: f64, plan: usize| {
+        let id = at as u64;
+        initiator.run_until(at).receive(id, 0, plan, 1.0, Some(1)).complete(id, "a", Settled).take_actions();
+    };
+    // Plan 0 has a limit, whose bucket is full again after 4 s. The volumes are named by their plans.
+    use_volume(&mut initiator, 110.0, 0);
+    use_volume(&mut initiator, 111.0, 2);
+    use_volume(&mut initiator, 112.0, 1);
+    let tracked = |initiator: &TestInitiator| {
+        let tracks = |plan| initiator.scheduler.tracks_volume(&VolumeId(format!("volume{plan}").into()));
+        [tracks(0), tracks(1), tracks(2)]
+    };
+    initiator.scheduler.evict_volumes(112.0, 3);
+    assert_eq!(tracked(&initiator), [true, true, true], "there is room for all");
+    initiator.scheduler.evict_volumes(112.0, 2);
+    assert_eq!(tracked(&initiator), [true, true, false], "the oldest one without a limit");
+    initiator.run_until(113.0).receive(900, 0, 1, 1.0, Some(1)).take_actions();
+    initiator.scheduler.evict_volumes(113.0, 0);
+    assert_eq!(tracked(&initiator), [true, true, false], "one has a transaction, one's limit is not full");
+    initiator.scheduler.evict_volumes(114.5, 0);
+    assert_eq!(tracked(&initiator), [false, true, false], "one has a transaction");
+}
