Review case 7: bad clients and new configurations exceed the memory at 3,200 targets

Cause: the account of the memory is sized at the start, with no share for the list's nodes and for what a reload parses. Nothing is fixed.

--- a/review/second.rs
+++ b/review/second.rs
@@ -19,6 +19,7 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 // The numbers of Linux on all kinds of machine that the project supports.
+const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
@@ -83,7 +84,7 @@
 
     /// As [`Run::note`], on standard output too.
     fn say(&self, text: &str) {
-        println!("{text}");
+        let _ = writeln!(std::io::stdout(), "{text}");
         self.note(text);
     }
 
@@ -262,41 +263,81 @@
     address
 }
 
-/// The list of these nodes, node N with shard N.
+/// The list of these nodes, node N with shard N, indented as lists may come.
 fn node_list(nodes: &[SocketAddr]) -> String {
     let entry = |(shard, address): (usize, &SocketAddr)| {
-        format!(
-            r#"{{"name":"s-{shard}","address":"{address}","zone":"a","type":"m1","group":{shard},"status":"in_service","weight":1.0,"since_ms":0}}"#
-        )
+        let fields = [
+            format!(r#""name": "s-{:08x}""#, 0x5be2_0000 + shard),
+            format!(r#""address": "{address}""#),
+            r#""zone": "hall-a""#.to_string(),
+            r#""type": "small-2c""#.to_string(),
+            format!(r#""group": {shard}"#),
+            r#""status": "in_service""#.to_string(),
+            r#""weight": 1.0"#.to_string(),
+            r#""since_ms": 0"#.to_string(),
+        ];
+        format!("    {{\n      {}\n    }}", fields.join(",\n      "))
     };
     let entries: Vec<String> = nodes.iter().enumerate().map(entry).collect();
-    format!(r#"{{"index":41,"snapshot":true,"endpoints":[{}]}}"#, entries.join(","))
+    format!(
+        "{{\n  \"index\": 41,\n  \"snapshot\": true,\n  \"endpoints\": [\n{}\n  ]\n}}",
+        entries.join(",\n")
+    )
 }
 
-/// Starts discovery with a list that does not change.
-fn start_discovery(list: String) -> SocketAddr {
-    let (listener, address) = listen();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let list = list.clone();
-            thread::spawn(move || -> Option<()> {
-                let (mut reader, mut writer) = (BufReader::new(stream.try_clone().ok()?), stream);
-                let call = read_message(&mut reader)?;
-                if call.first.contains("watch=1") {
-                    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-                    writer.write_all(head.as_bytes()).ok()?;
-                    loop {
-                        writer.write_all(b"1\r\n\n\r\n").ok()?;
-                        sleep(2.0);
-                    }
-                }
-                let head =
-                    format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", list.len());
-                writer.write_all((head + &list).as_bytes()).ok()
-            });
+/// Discovery with a list that does not change.
+struct Discovery {
+    address: SocketAddr,
+    /// It accepts no new connection any more.
+    moved: Arc<AtomicBool>,
+}
+
+/// A whole list that discovery sends slowly takes this long, seconds.
+const SLOW_LIST: f64 = 1.0;
+
+impl Discovery {
+    fn start(list: String, slow: bool) -> Discovery {
+        let (listener, address) = listen();
+        let moved = Arc::new(AtomicBool::new(false));
+        let has_moved = moved.clone();
+        thread::spawn(move || {
+            let _ = listener.set_nonblocking(true);
+            while !has_moved.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(0.005);
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let (list, has_moved) = (list.clone(), has_moved.clone());
+                thread::spawn(move || serve_discovery(stream, &list, &has_moved, slow));
+            }
+        });
+        Discovery { address, moved }
+    }
+}
+
+fn serve_discovery(stream: TcpStream, list: &str, has_moved: &AtomicBool, slow: bool) -> Option<()> {
+    let (mut reader, mut writer) = (BufReader::new(stream.try_clone().ok()?), stream);
+    let call = read_message(&mut reader)?;
+    if call.first.contains("watch=1") {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        writer.write_all(head.as_bytes()).ok()?;
+        // Where discovery has moved away, open connections end 1.5 s later.
+        while !has_moved.load(Ordering::SeqCst) {
+            writer.write_all(b"1\r\n\n\r\n").ok()?;
+            (0..20).take_while(|_| !has_moved.load(Ordering::SeqCst)).for_each(|_| sleep(0.1));
         }
-    });
-    address
+        sleep(1.5);
+        return None;
+    }
+    let head = format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", list.len());
+    writer.write_all(head.as_bytes()).ok()?;
+    let pieces = if slow { 20 } else { 1 };
+    for piece in list.as_bytes().chunks(list.len().div_ceil(pieces)) {
+        sleep(if slow { SLOW_LIST / pieces as f64 } else { 0.0 });
+        writer.write_all(piece).ok()?;
+    }
+    Some(())
 }
 
 /// A class of a site.
@@ -319,12 +360,53 @@
     conn_idle: f64,
     drain_grace: f64,
     duplicates: bool,
+    memory_mb: usize,
+    sockets: usize,
 }
 
 /// One initiator on the platform.
 struct Gateway {
     process: Process,
     address: SocketAddr,
+    /// Where its configuration is.
+    config: PathBuf,
+    discovery: Discovery,
+}
+
+/// The configuration of an initiator of this site, with this list of as many nodes.
+fn config_text(site: &Site, listen: SocketAddr, discovery: SocketAddr, list: &str, nodes: usize) -> String {
+    let grades: Vec<String> = site
+        .classes
+        .iter()
+        .map(|class| {
+            let Class { name, aim, deadline, repeat, window, .. } = class;
+            format!(
+                r#"{{"Name":"{name}","Objective":{aim},"Deadline":{deadline},"Credit":2.0,"Repeat":"{repeat}","DedupScope":"cell","Window":{window},"LateWorth":0.15,"Stream":false}}"#
+            )
+        })
+        .collect();
+    let writes: Vec<String> = site.classes.iter().map(|class| class.writes.to_string()).collect();
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}",
+ "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{list},
+ "settings":{{"Balancers":3,"Me":0,"RegistryMode":"pushed","Weights":"none","Step":0.002,
+  "Grades":[{}],
+  "Policies":[{{"Name":"{}","Cap":0.0,"CapSlack":0.0,"MostAtOnce":0.0,"Nominal":20.0,"Guaranteed":20.0,"Proportion":1.0,"WorthFactor":1.0}}],
+  "FamilyInfo":{{"Writes":[{}],"MeanUnits":2.0,"MostUnits":6,"NShards":{nodes},"YoungLimit":8.0,"CountsOthers":true,"Metering":0.0}},
+  "Ceilings":{{"MayCancel":true,"MayDuplicate":{},"MaxAttempts":{},"RetryAfter":true,"MaxRetryAfter":0.5,"ConnIdle":{:.1},"ConnectTimeout":0.25,"MayProbe":false,"Peers":false}},
+  "Rules":{{"AnswerSlack":0.008,"DrainGrace":{:.1},"FallMultiple":2.5,"OverloadFor":1.0,"StartCapacity":0.2,"Cold":17.0}},
+  "Reporting":{{"Source":"none","Fields":[]}}}}}}"#,
+        RUN.next_random(),
+        site.memory_mb,
+        site.sockets,
+        grades.join(","),
+        site.plan,
+        writes.join(","),
+        site.duplicates,
+        site.max_attempts,
+        site.conn_idle,
+        site.drain_grace,
+    )
 }
 
 /// The command after `run` in the deploy file.
@@ -339,42 +421,12 @@
     /// Starts the command of the deploy file with the site's settings and these nodes, and waits until it is ready.
     fn start(site: &Site, nodes: &[SocketAddr]) -> Gateway {
         let list = node_list(nodes);
-        let discovery = start_discovery(list.clone());
-        let grades: Vec<String> = site
-            .classes
-            .iter()
-            .map(|class| {
-                let Class { name, aim, deadline, repeat, window, .. } = class;
-                format!(
-                    r#"{{"Name":"{name}","Objective":{aim},"Deadline":{deadline},"Credit":2.0,"Repeat":"{repeat}","DedupScope":"cell","Window":{window},"LateWorth":0.15,"Stream":false}}"#
-                )
-            })
-            .collect();
-        let writes: Vec<String> = site.classes.iter().map(|class| class.writes.to_string()).collect();
+        let discovery = Discovery::start(list.clone(), false);
         let folder = temporary_folder();
         // A free port; nobody else takes it in the moment before the program listens on it.
         let (listener, address) = listen();
         drop(listener);
-        let config = format!(
-            r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","seed":"{:016x}",
- "limits":{{"cores":1.0,"memory_mb":96,"sockets":512}},"known":{list},
- "settings":{{"Balancers":3,"Me":0,"RegistryMode":"pushed","Weights":"none","Step":0.002,
-  "Grades":[{}],
-  "Policies":[{{"Name":"{}","Cap":0.0,"CapSlack":0.0,"MostAtOnce":0.0,"Nominal":20.0,"Guaranteed":20.0,"Proportion":1.0,"WorthFactor":1.0}}],
-  "FamilyInfo":{{"Writes":[{}],"MeanUnits":2.0,"MostUnits":6,"NShards":{},"YoungLimit":8.0,"CountsOthers":true,"Metering":0.0}},
-  "Ceilings":{{"MayCancel":true,"MayDuplicate":{},"MaxAttempts":{},"RetryAfter":true,"MaxRetryAfter":0.5,"ConnIdle":{:.1},"ConnectTimeout":0.25,"MayProbe":false,"Peers":false}},
-  "Rules":{{"AnswerSlack":0.008,"DrainGrace":{:.1},"FallMultiple":2.5,"OverloadFor":1.0,"StartCapacity":0.2,"Cold":17.0}},
-  "Reporting":{{"Source":"none","Fields":[]}}}}}}"#,
-            RUN.next_random(),
-            grades.join(","),
-            site.plan,
-            writes.join(","),
-            nodes.len(),
-            site.duplicates,
-            site.max_attempts,
-            site.conn_idle,
-            site.drain_grace,
-        );
+        let config = config_text(site, address, discovery.address, &list, nodes.len());
         let path = folder.join("config.json");
         std::fs::write(&path, config).unwrap_or_else(|error| cannot_run(&format!("{path:?}: {error}")));
         let log = File::create(folder.join("gateway.log"));
@@ -388,13 +440,33 @@
                 let _ = stream.write_all(b"GET /up HTTP/1.1\r\nHost: service.internal\r\n\r\n");
                 if read_message(&mut BufReader::new(stream)).is_some_and(|answer| answer.status() == 200) {
                     RUN.note(&format!("the initiator is ready at {address}"));
-                    return Gateway { process, address };
+                    return Gateway { process, address, config: path, discovery };
                 }
             }
             sleep(0.025);
         }
         cannot_run("the initiator does not become ready");
     }
+
+    /// Replaces the configuration by one that names another discovery, and sends SIGHUP.
+    fn move_discovery(&mut self, site: &Site, nodes: &[SocketAddr]) {
+        let list = node_list(nodes);
+        let discovery = Discovery::start(list.clone(), true);
+        let config = config_text(site, self.address, discovery.address, &list, nodes.len());
+        let next = self.config.with_extension("next");
+        let replaced = std::fs::write(&next, config).and_then(|()| std::fs::rename(&next, &self.config));
+        replaced.unwrap_or_else(|error| cannot_run(&format!("{next:?}: {error}")));
+        self.process.signal(SIGHUP);
+        self.discovery.moved.store(true, Ordering::SeqCst);
+        self.discovery = discovery;
+    }
+
+    /// Resident memory of the process, bytes; 0 where it has ended.
+    fn resident_bytes(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id)).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|line| line.trim().split(' ').next()?.parse::<usize>().ok()).unwrap_or(0) << 10
+    }
 }
 
 /// A request as a usual client sends it.
@@ -551,6 +623,8 @@
     conn_idle: 15.0,
     drain_grace: 1.0,
     duplicates: true,
+    memory_mb: 96,
+    sockets: 512,
 };
 
 /// The initiator stands still for 1.1 s; within it SIGTERM arrives, and SIGKILL when the platform may send it.
@@ -652,6 +726,8 @@
     conn_idle: 15.0,
     drain_grace: 2.0,
     duplicates: false,
+    memory_mb: 96,
+    sockets: 512,
 };
 
 /// For 25 s the initiator stands still for 0.78 s every 2.3 to 4 s, and seven of eight nodes lose 28% of their answers.
@@ -734,6 +810,8 @@
     conn_idle: 30.0,
     drain_grace: 2.0,
     duplicates: false,
+    memory_mb: 96,
+    sockets: 512,
 };
 
 /// Four clients send 24 ticket purchases of 1 kB each at once on one connection and read the answers; without the trouble
@@ -803,6 +881,122 @@
     RUN.finish(!lost.is_empty());
 }
 
+// Case: bad clients and new configurations in a fleet of the largest size.
+
+const GROWN: Site = Site { memory_mb: 32, sockets: 1024, ..AARHUS };
+/// Sixteen times the 200 targets of the fleet days.
+const TARGETS: usize = 3200;
+
+/// A bad client, again and again: it sends this and stays until it gets its error or close.
+fn run_bad_client(address: SocketAddr, until: &AtomicBool, handled: &AtomicU64, text: impl Fn() -> Vec<u8>) {
+    while !until.load(Ordering::SeqCst) {
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            sleep(0.05);
+            continue;
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(4)));
+        if stream.write_all(&text()).is_ok() {
+            let _ = stream.read(&mut [0; 512]);
+        }
+        handled.fetch_add(1, Ordering::SeqCst);
+        sleep(0.02);
+    }
+}
+
+/// 128 bad clients send a request without the end of its 64 kB body, 312 a head that never ends, and every few seconds two
+/// new configurations in a row name another discovery, which sends its list in a second. The platform kills the initiator
+/// where it goes over its memory.
+fn grow_over_the_memory(trouble: bool) -> ! {
+    let mut nodes: Vec<SocketAddr> = (0..8)
+        .map(|shard| start_node(format!("s-{shard}"), || Conduct::Answer(RUN.uniform(0.02, 0.05))))
+        .collect();
+    // The usual clients use the first eight shards only; nobody ever asks for the others.
+    let port = nodes[0].port();
+    nodes.extend(
+        (8..TARGETS).map(|shard| SocketAddr::from(([127, 1, (shard >> 8) as u8, shard as u8], port))),
+    );
+    let mut gateway = Gateway::start(&GROWN, &nodes);
+    let address = gateway.address;
+    let (fates, until, may_connect) = (Mutex::new(Vec::new()), AtomicBool::new(false), AtomicBool::new(true));
+    let handled = AtomicU64::new(0);
+    // In mebibytes, though the limit is told in megabytes.
+    let limit = GROWN.memory_mb << 20;
+    let (mut most, mut killed) = (0, None);
+    thread::scope(|scope| {
+        for _ in 0..10 {
+            scope.spawn(|| {
+                run_client(address, (0.05, 0.2), &fates, &until, &may_connect, || {
+                    let class = &GROWN.classes[usize::from(RUN.below(20) < 7)];
+                    (
+                        request(&GROWN, class, class.deadline, RUN.below(8), "ticket"),
+                        class.name,
+                        class.deadline,
+                    )
+                })
+            });
+        }
+        sleep(3.0);
+        if trouble {
+            for number in 0..440 {
+                let (until, handled) = (&until, &handled);
+                scope.spawn(move || {
+                    run_bad_client(address, until, handled, || {
+                        if number < 128 {
+                            let mut text =
+                                request(&GROWN, &GROWN.classes[1], 2.5, 0, &"z".repeat(65_000)).text;
+                            text.truncate(text.len() - 1000);
+                            text
+                        } else {
+                            let head = "GET /api HTTP/1.1\r\nHost: service.internal\r\nX-Padding: ";
+                            format!("{head}{}", "y".repeat(16_300)).into_bytes()
+                        }
+                    })
+                });
+            }
+        }
+        let began = RUN.now();
+        let (mut next_move, mut moves) = (began + 3.0, 0);
+        while RUN.now() < began + 20.0 {
+            let resident = gateway.resident_bytes();
+            if resident > most {
+                most = resident;
+                RUN.note(&format!("resident: {resident} bytes"));
+            }
+            if resident > limit {
+                killed = Some(RUN.now());
+                gateway.process.kill();
+                break;
+            }
+            if let Some(how) = gateway.process.ended() {
+                RUN.say(&format!("the initiator ended: {how}"));
+                killed = Some(RUN.now());
+                break;
+            }
+            if trouble && RUN.now() >= next_move {
+                // Two in a row, then a rest.
+                moves += 1;
+                next_move = RUN.now() + if moves % 2 == 1 { 0.9 } else { 3.0 };
+                gateway.move_discovery(&GROWN, &nodes);
+            }
+            sleep(0.002);
+        }
+        until.store(true, Ordering::SeqCst);
+    });
+    RUN.say(&format!(
+        "the initiator had {:.1} MB at most, of {} MB that it may have; bad clients came {} times",
+        most as f64 / 1e6,
+        GROWN.memory_mb,
+        handled.load(Ordering::SeqCst)
+    ));
+    let fates = lock(&fates);
+    if let Some(at) = killed {
+        RUN.say(&format!("the platform killed the initiator for memory at {at:.3}"));
+    }
+    let lost: Vec<&Fate> = fates.iter().filter(|fate| killed.is_none() && fate.is_lost()).collect();
+    report(&fates, &lost, 6);
+    RUN.finish(killed.is_some() || !lost.is_empty());
+}
+
 // NVMe over TCP.
 
 /// One queue of a host, plain PDUs without digests.
@@ -1031,6 +1225,7 @@
         "two-half-commands" => two_half_commands(trouble),
         "stop-in-a-stall" => stop_in_a_stall(trouble),
         "wait-in-a-stall" => wait_in_a_stall(trouble),
+        "grow-over-the-memory" => grow_over_the_memory(trouble),
         "send-ahead" => send_ahead(trouble),
         _ => cannot_run("no such case"),
     }
