--- a/review/second.rs
+++ b/review/second.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{exit, Child, Command, Stdio};
@@ -556,7 +556,7 @@
         let Some((reader, writer)) = connection.as_mut() else { return };
         // A connection that the initiator has ended is not used any more.
         let _ = writer.set_nonblocking(true);
-        let waits = |error: &std::io::Error| error.kind() == std::io::ErrorKind::WouldBlock;
+        let waits = |error: &std::io::Error| error.kind() == ErrorKind::WouldBlock;
         let is_open = writer.peek(&mut [0]).is_err_and(|error| waits(&error));
         let _ = writer.set_nonblocking(false);
         if !is_open {
@@ -1112,68 +1112,76 @@
     address.unwrap_or_else(|| cannot_run(&format!("no line '{word}ADDRESS'")))
 }
 
-/// A host with two I/O queues stops in the middle of a command on each and stays; another host reads all the time.
-fn two_half_commands(trouble: bool) -> ! {
-    let settings = "deploy/samples/rail.xml";
-    let folder = temporary_folder();
-    let program = |name: &str| {
-        let mut command = Command::new(format!("target/release/{name}"));
-        command.stdout(Stdio::piped()).stdin(Stdio::piped()).stderr(Stdio::null());
-        command
-    };
-    let mut ready = String::new();
-    for block in 0..8 {
-        let mut target = program("quaypath-target");
-        target.args(["--settings", settings, "--listen", "127.0.0.1:0", "--block", &block.to_string()]);
-        let address = address_told(&Process::start(target), "listening ");
-        ready += &format!("ready {address} {block}\n");
+/// The programs of the README's frame by hand: a node for each of eight blocks, register and gateway.
+struct Storage {
+    gateway: Process,
+    address: SocketAddr,
+    log: PathBuf,
+}
+
+impl Storage {
+    fn start(settings: &str) -> Storage {
+        let folder = temporary_folder();
+        let program = |name: &str| {
+            let mut command = Command::new(format!("target/release/{name}"));
+            command.stdout(Stdio::piped()).stdin(Stdio::piped()).stderr(Stdio::null());
+            command
+        };
+        let mut ready = String::new();
+        for block in 0..8 {
+            let mut target = program("quaypath-target");
+            target.args(["--settings", settings, "--listen", "127.0.0.1:0", "--block", &block.to_string()]);
+            let address = address_told(&Process::start(target), "listening ");
+            ready += &format!("ready {address} {block}\n");
+        }
+        let mut register = program("quaypath-register");
+        register.args(["--listen", "127.0.0.1:0"]);
+        let register = Process::start(register);
+        let register_address = address_told(&register, "listening ");
+        if let Some(input) = lock(&register.child).stdin.as_mut() {
+            let _ = input.write_all(ready.as_bytes());
+        }
+        let log = folder.join("gateway.log");
+        let log_file =
+            File::create(&log).unwrap_or_else(|error| cannot_run(&format!("gateway.log: {error}")));
+        let mut gateway = program("quaypath-gateway");
+        gateway.args(["--settings", settings, "--number", "0", "--listen", "127.0.0.1:0"]);
+        gateway.args(["--register", &register_address.to_string(), "--list"]).arg(folder.join("nodes.list"));
+        gateway.stderr(log_file);
+        let gateway = Process::start(gateway);
+        let address = address_told(&gateway, "listening ");
+        sleep(1.5);
+        Storage { gateway, address, log }
     }
-    let mut register = program("quaypath-register");
-    register.args(["--listen", "127.0.0.1:0"]);
-    let register = Process::start(register);
-    let register_address = address_told(&register, "listening ");
-    if let Some(input) = lock(&register.child).stdin.as_mut() {
-        let _ = input.write_all(ready.as_bytes());
+
+    fn associate(&self, host: &str, queues: u32) -> (Queue, Vec<Queue>) {
+        let connected = Queue::associate(self.address, &format!("nqn.2026-12.example.host:{host}"), queues);
+        connected.unwrap_or_else(|error| cannot_run(&format!("the host '{host}': {error}")))
     }
-    let log = File::create(folder.join("gateway.log"));
-    let log = log.unwrap_or_else(|error| cannot_run(&format!("gateway.log: {error}")));
-    let mut gateway = program("quaypath-gateway");
-    gateway.args(["--settings", settings, "--number", "0", "--listen", "127.0.0.1:0"]);
-    gateway.args(["--register", &register_address.to_string(), "--list"]).arg(folder.join("nodes.list"));
-    gateway.stderr(log);
-    let gateway = Process::start(gateway);
-    let address = address_told(&gateway, "listening ");
-    sleep(1.5);
-    let first = Queue::associate(address, "nqn.2026-12.example.host:usual", 1);
-    let (_admin, mut usual) = first.unwrap_or_else(|error| cannot_run(&format!("the usual host: {error}")));
-    let second = Queue::associate(address, "nqn.2026-12.example.host:stops", 2);
-    let (_other_admin, mut stopping) =
-        second.unwrap_or_else(|error| cannot_run(&format!("the second host: {error}")));
-    for (number, queue) in stopping.iter_mut().enumerate() {
-        let command = nvme_read(7, 101, 0);
-        let sent = if trouble { &command[..40] } else { &command[..] };
-        if queue.0.write_all(sent).is_err() {
-            cannot_run("the second host cannot write");
-        }
-        RUN.note(&format!(
-            "the second host sent {} of {} bytes on I/O queue {}",
-            sent.len(),
-            command.len(),
-            number + 1
-        ));
-        if !trouble {
-            let answer = queue.completion();
-            RUN.note(&format!("I/O queue {} answered: {answer:?}", number + 1));
+
+    /// Says what became of the gateway.
+    fn report(&self) {
+        match TcpStream::connect(self.address) {
+            Ok(_) => RUN.say("the gateway's address takes connections"),
+            Err(error) => RUN.say(&format!("the gateway's address takes no connections: {error}")),
         }
+        let ended = self.gateway.ended();
+        RUN.say(&format!("the gateway's process {}", ended.unwrap_or("has not ended".to_string())));
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let panics = log.lines().skip_while(|line| !line.contains("panicked")).take(2);
+        panics.for_each(|line| RUN.say(&format!("the gateway's log: {line}")));
     }
-    // The usual host: one read of the band look-up after the other for 16 s, of a volume on the plan `basic`, whose limit makes
-    // some of them wait. Each is owed its answer within 1.2 s.
+}
+
+/// Reads blocks of a volume on the plan `basic`, one after the other for this many seconds; the limit of its plan makes some
+/// of them wait. Each is owed its answer within the outer limit of the band, 1.2 s. Returns those that had none.
+fn read_all_the_time(queue: &mut Queue, seconds: f64) -> Vec<String> {
     let deadline = 1.2;
-    let _ = usual[0].0.set_read_timeout(Some(Duration::from_secs_f64(deadline + LATEST_ANSWER)));
+    let _ = queue.0.set_read_timeout(Some(Duration::from_secs_f64(deadline + LATEST_ANSWER)));
     let (began, mut reads, mut declined, mut lost) = (RUN.now(), 0u32, 0, Vec::new());
-    while RUN.now() < began + 16.0 {
+    while RUN.now() < began + seconds {
         let (cid, sent) = ((reads % 100) as u16, RUN.now());
-        let answer = usual[0].submit(&nvme_read(cid, 1, reads % 64));
+        let answer = queue.submit(&nvme_read(cid, 1, reads % 64));
         RUN.note(&format!("read {reads} sent {sent:.4}: {answer:?}"));
         reads += 1;
         match answer {
@@ -1194,19 +1202,33 @@
         lost.len()
     ));
     lost.iter().for_each(|line| RUN.say(line));
-    if !lost.is_empty() {
-        match TcpStream::connect(address) {
-            Ok(_) => RUN.say("the gateway's address takes connections"),
-            Err(error) => RUN.say(&format!("the gateway's address takes no connections: {error}")),
+    lost
+}
+
+/// A host with two I/O queues stops in the middle of a command on each and stays; another host reads all the time.
+fn two_half_commands(trouble: bool) -> ! {
+    let storage = Storage::start("deploy/samples/rail.xml");
+    let (_admin, mut usual) = storage.associate("usual", 1);
+    let (_other_admin, mut stopping) = storage.associate("stops", 2);
+    for (number, queue) in stopping.iter_mut().enumerate() {
+        let command = nvme_read(7, 101, 0);
+        let sent = if trouble { &command[..40] } else { &command[..] };
+        if queue.0.write_all(sent).is_err() {
+            cannot_run("the second host cannot write");
         }
-        RUN.say(&format!(
-            "the gateway's process: {}",
-            gateway.ended().unwrap_or("has not ended".to_string())
+        RUN.note(&format!(
+            "the second host sent {} of {} bytes on I/O queue {}",
+            sent.len(),
+            command.len(),
+            number + 1
         ));
+        if !trouble {
+            let answer = queue.completion();
+            RUN.note(&format!("I/O queue {} answered: {answer:?}", number + 1));
+        }
     }
-    let log = std::fs::read_to_string(folder.join("gateway.log")).unwrap_or_default();
-    let panics = log.lines().skip_while(|line| !line.contains("panicked")).take(2);
-    panics.for_each(|line| RUN.say(&format!("the gateway's log: {line}")));
+    let lost = read_all_the_time(&mut usual[0], 16.0);
+    storage.report();
     RUN.finish(!lost.is_empty());
 }
 
