--- a/review/second.rs
+++ b/review/second.rs
@@ -461,10 +461,10 @@
         self.discovery = discovery;
     }
 
-    /// Resident memory of the process, bytes; 0 where it has ended.
+    /// The most resident memory that the process has had, bytes; 0 where it has ended.
     fn resident_bytes(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id)).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         line.and_then(|line| line.trim().split(' ').next()?.parse::<usize>().ok()).unwrap_or(0) << 10
     }
 }
