--- a/review/second.rs
+++ b/review/second.rs
@@ -1,8 +1,8 @@
 //! Stand-ins and judges for the cases 6 to 10: clients, nodes, discovery and the platform's signals, on loopback addresses
 //! and the real clock. One program, with the standard library alone; `build-2.sh` compiles it.
 //!
-//! `second CASE FOLDER` runs a case from the repository's root and writes FOLDER/record.txt. It exits with 1 if the rule was
-//! broken, with 0 if it held, and with 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+//! `second CASE RECORD` runs a case from the repository's root and writes its record to that file. It exits with 1 if the rule
+//! was broken, with 0 if it held, and with 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -38,7 +38,9 @@
 
 /// Ends the case as one that could not run.
 fn cannot_run(reason: &str) -> ! {
-    println!("the case could not run: {reason}");
+    let text = format!("the case could not run: {reason}");
+    let _ = writeln!(std::io::stdout(), "{text}");
+    RUN.note(&text);
     RUN.with_processes(|process| drop(process.kill()));
     let _ = std::fs::remove_dir_all(temporary_path());
     exit(2);
@@ -62,10 +64,11 @@
 };
 
 impl Run {
-    fn begin(&self, folder: &Path) {
+    fn begin(&self, record: &Path) {
         *lock(&self.began) = Some(Instant::now());
-        let file = File::create(folder.join("record.txt"));
-        *lock(&self.record) = Some(file.unwrap_or_else(|error| cannot_run(&format!("record.txt: {error}"))));
+        let file = File::create(record);
+        let file = file.unwrap_or_else(|error| cannot_run(&format!("{record:?}: {error}")));
+        *lock(&self.record) = Some(file);
         let seed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         self.random.store(seed.map_or(7, |since| since.as_nanos() as u64 | 1), Ordering::SeqCst);
     }
@@ -1234,8 +1237,8 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else { cannot_run("usage: second CASE FOLDER") };
-    RUN.begin(Path::new(folder));
+    let [_, case, record] = &arguments[..] else { cannot_run("usage: second CASE RECORD") };
+    RUN.begin(Path::new(record));
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     RUN.note(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     // However the case goes, it ends in time, and its processes with it.
