Nodes, lists of discovery and new configurations are in the sum of the memory

Cause: three things stood beside the account. By pieces, without clients (release, resident at most, 15.1 MB at the start): a configuration read again 22.0, kept afterwards (text, JSON values of it all, its list twice); 0.8 MB for each slow list, as up to four calls hold a text, and the decoded list stayed as long as its watch; nodes 9.4, windows of measures most of it, partly after the account had been drawn up. Change: the file is decoded while it is read, its list only checked at a reload, which is bounded; windows without a sample take no memory, node states are boxed; kinds nodes, discovery and configuration in the account, the last two with a part that clients cannot take. On related paths: replaced addresses are no longer watched, blocks that clients name need room, nodes that are not listed are forgotten once nobody asks, removed ones are bounded by number. Small allocations count as 32 bytes at least. The node table has a module of its own, the account and its limits too. Why it works: what discovery and configuration hold is counted before it is allocated, and goes before clients.

--- a/crates/initiator/src/core.rs
+++ b/crates/initiator/src/core.rs
@@ -98,6 +98,14 @@
     fn timer_fired(&mut self, now: f64, tag: u64, out: &mut Actions);
     /// Numbers of volumes and of ordering keys that are tracked.
     fn tracked_counts(&self) -> (usize, usize);
+    /// The memory of what is kept for nodes, bytes.
+    fn node_memory_bytes(&self) -> usize {
+        0
+    }
+    /// Whether transactions for this block were received lately.
+    fn tracks_block(&self, _block: BlockId) -> bool {
+        true
+    }
     /// Whether this volume is tracked.
     fn tracks_volume(&self, _name: &VolumeId) -> bool {
         true
@@ -169,6 +177,12 @@
     fn tracked_counts(&self) -> (usize, usize) {
         Scheduler::tracked_counts(self)
     }
+    fn node_memory_bytes(&self) -> usize {
+        Scheduler::node_memory_bytes(self)
+    }
+    fn tracks_block(&self, block: BlockId) -> bool {
+        Scheduler::tracks_block(self, block)
+    }
     fn tracks_volume(&self, name: &VolumeId) -> bool {
         Scheduler::tracks_volume(self, name)
     }
--- a/crates/platform/src/allocator.rs
+++ b/crates/platform/src/allocator.rs
@@ -11,7 +11,7 @@
 #[cfg(all(target_os = "linux", target_env = "gnu"))]
 const TOP_PAD_BYTES: i32 = 0;
 
-/// Applies the settings to this process. By default glibc raises the thresholds with what is released.
+/// Applies the settings to this process, before it allocates much. By default glibc raises the thresholds with what is released.
 #[cfg(all(target_os = "linux", target_env = "gnu"))]
 pub fn configure() {
     let options = [
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -8,12 +8,13 @@
 //! removed).
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 
 use async_executor::LocalExecutor;
+use quaypath::scheduler::{NODE_BYTES, USED_NODE_BYTES};
 use quaypath::types::*;
 use quaypath_http::Request;
 use quaypath_initiator::core::{self, Action, Actions, Core};
@@ -22,10 +23,10 @@
 use quaypath_initiator::polls::{spawn, take_summary, Peer, PollSummary, TaskKind};
 use quaypath_initiator::timer_wheel::TimerWheel;
 use quaypath_record::Clock;
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 
-use crate::config::Config;
-use crate::discovery::{Listing, Status};
+use crate::config::{self, Config};
+use crate::discovery::{control_memory, DiscoverySources, ListError, Listing};
 use crate::front::{
     AnswerSlot, ClientConnection, ConnectionState, FinalAnswer, IDLE_TIMEOUT, IDLE_TIMEOUT_UNDER_PRESSURE,
 };
@@ -35,9 +36,10 @@
     allocated_bytes, resident_bytes, MemoryAccount, MemoryKind, MemoryLimits, MemoryPermit, MemorySummary,
     TRANSACTION_BYTES,
 };
+use crate::node_table::NodeTable;
 use crate::outcome::{outcome, ShotEnd};
 use crate::replay_window::{HashedId, ReplayWindow};
-use crate::upstream::{self, Pool};
+use crate::upstream;
 
 /// A timer that fires later than this counts as a stall, seconds.
 const STALL_THRESHOLD: f64 = 0.06;
@@ -49,8 +51,6 @@
 const EVICTION_START: f64 = 0.75;
 const EVICTION_END: f64 = 0.5;
 
-/// How long a removed node is remembered, seconds: no list is older than this.
-const REMOVED_NODE_RETENTION: f64 = 60.0;
 /// Descriptors that are not available for clients and nodes: three for the standard streams, three for the reactor, three
 /// for signals and the listener, four for calls to discovery at each of two addresses, and a spare for a connection that is
 /// being accepted.
@@ -248,28 +248,6 @@
     }
 }
 
-/// A listed node.
-pub struct Node {
-    address: SocketAddr,
-    /// Idle connections to the node.
-    pub pool: Pool,
-    /// Since when the gateway knows that the node drains, seconds.
-    draining_since: Option<f64>,
-    /// When the node started, seconds since 1970.
-    started: f64,
-}
-
-impl Node {
-    /// Address and start time. A connection leads to the process that was started there then, and to no other.
-    pub fn incarnation(&self) -> (SocketAddr, f64) {
-        (self.address, self.started)
-    }
-
-    pub fn is_draining(&self) -> bool {
-        self.draining_since.is_some()
-    }
-}
-
 /// The instance as its owner holds it.
 pub type SharedInstance = Rc<RefCell<Instance>>;
 /// The instance as its tasks refer to it.
@@ -300,7 +278,9 @@
     refusal_permit: Rc<()>,
     max_refusals: usize,
     started: f64,
-    pub nodes: BTreeMap<NodeId, Node>,
+    pub nodes: NodeTable,
+    /// Memory of the nodes, here and in the core.
+    node_memory: MemoryPermit,
     /// Number of connections to nodes, idle ones included.
     pub upstream_connections: Rc<Cell<usize>>,
     pub max_upstream_connections: usize,
@@ -308,14 +288,9 @@
     pub memory: MemoryAccount,
     /// The version of the node list.
     pub list_index: u64,
-    /// The number of the discovery address that sent the list. Each new address has a higher number.
-    pub list_source: u64,
-    /// The number of the newest discovery address.
-    pub newest_source: u64,
+    pub discovery_sources: DiscoverySources,
     /// Whether discovery has sent its whole list since the start.
     pub list_received: bool,
-    /// Nodes removed within the retention time: their start time, and when they were removed.
-    removed_nodes: BTreeMap<NodeId, (f64, f64)>,
     pub shutdown_stage: ShutdownStage,
     pub counts: Counts,
     executor: Weak<LocalExecutor<'static>>,
@@ -386,7 +361,9 @@
             resident_bytes(),
             descriptors(CLIENT_SHARE),
             max_upstream_connections,
+            control_memory(&config),
         );
+        let memory = MemoryAccount::new(memory_limits);
         let instance = Rc::new(RefCell::new(Instance {
             core,
             actions,
@@ -404,16 +381,15 @@
             refusal_permit: Rc::default(),
             max_refusals: descriptors(REFUSAL_SHARE).max(MIN_REFUSALS),
             started: now,
-            nodes: BTreeMap::new(),
+            nodes: NodeTable::default(),
+            node_memory: memory.hold(MemoryKind::Node, 0),
             upstream_connections: Rc::default(),
             max_upstream_connections,
             idle_reuse: IdleReuse::default(),
-            memory: MemoryAccount::new(memory_limits),
+            memory,
             list_index: config.initial_list.index,
-            list_source: 0,
-            newest_source: 0,
+            discovery_sources: DiscoverySources::default(),
             list_received: false,
-            removed_nodes: BTreeMap::new(),
             shutdown_stage: ShutdownStage::Running,
             counts: Counts::default(),
             executor: Rc::downgrade(executor),
@@ -439,7 +415,11 @@
     fn pass_to_core(&mut self, event: CoreEvent) {
         let (now, out) = (self.now, &mut self.actions);
         match event {
-            CoreEvent::NodeList(kind, entries) => self.core.node_list_received(now, kind, &entries, out),
+            CoreEvent::NodeList(kind, entries) => {
+                self.core.node_list_received(now, kind, &entries, out);
+                drop(entries);
+                self.node_memory.resize(self.node_memory_bytes());
+            }
             CoreEvent::TransactionReceived(id) => {
                 let Some(transaction) = self.open.get(&id) else { return };
                 self.core.transaction_received(
@@ -455,6 +435,7 @@
                     transaction.block.map(BlockId),
                     out,
                 );
+                self.node_memory.resize(self.node_memory_bytes());
             }
             CoreEvent::ShotCompleted(id, number, outcome, report) => {
                 let Some(transaction) = self.open.get_mut(&id) else { return };
@@ -525,6 +506,9 @@
         if self.tracked_volumes() >= self.memory.limits().max_volumes && !self.core.tracks_volume(&volume) {
             return Err((503, "no room for another volume"));
         }
+        if decoded.block.is_some_and(|block| !self.has_room_for_block(BlockId(block))) {
+            return Err((503, "no room for another shard"));
+        }
         let head = encode_forwarded_head(&request);
         let head_memory = self.memory.try_hold(MemoryKind::RequestHead, allocated_bytes(head.capacity()));
         let head_memory = head_memory.ok_or((503, "no room for a head"))?;
@@ -560,6 +544,11 @@
         Ok((id, answer_slot))
     }
 
+    /// Whether there is memory for what the core keeps for a block that transactions ask for.
+    fn has_room_for_block(&self, block: BlockId) -> bool {
+        self.core.tracks_block(block) || self.memory.has_room(NODE_BYTES + USED_NODE_BYTES)
+    }
+
     /// Number of volumes and keys that the core tracks, as a measure of its memory.
     fn tracked_volumes(&self) -> usize {
         let (volumes, keys) = self.core.tracked_counts();
@@ -671,113 +660,48 @@
     /// Whether nothing may be sent to a node any more, because it is not listed or because its drain grace is nearly over. The
     /// last fifth of the grace is left for what the kernel still has to send.
     pub fn is_closed(&self, node: &NodeId) -> bool {
-        let draining_since = self.nodes.get(node).map(|node| node.draining_since);
-        draining_since.is_none_or(|since| {
-            since.is_some_and(|since| self.now - since >= 0.8 * self.config.transport.drain_grace)
-        })
+        let draining_time = self.nodes.get(node).map(|node| node.draining_time(self.now));
+        draining_time
+            .is_none_or(|time| time.is_some_and(|time| time >= 0.8 * self.config.transport.drain_grace))
     }
 
-    // Discovery.
+    // Configuration and discovery.
 
-    /// Whether the discovery address with this number is used: the newest one, and until that has sent its list the one that
-    /// sent the current list.
-    pub fn uses_source(&self, source: u64) -> bool {
-        source == self.list_source || source == self.newest_source && source > self.list_source
+    /// Reads the configuration file again and returns the address of discovery.
+    pub fn reload_config(&self) -> Result<SocketAddr, config::Error> {
+        // This fits into the part of the memory that is kept for it.
+        let _memory = self.memory.hold(MemoryKind::Configuration, self.config.reload_memory_bytes());
+        self.config.reload(|name| std::env::var(name).ok())
     }
 
-    /// Applies a received list; false if it contains changes older than the known list. A whole list with an older version is
-    /// applied, because discovery may have begun to count its versions again, but a node that is known as draining or removed
-    /// remains so until its next start.
-    pub fn update_list(&mut self, listing: &Listing) -> bool {
+    /// Applies a received list. A whole list with an older version is applied, because discovery may have begun to count its
+    /// versions again, but a node that is known as draining or removed remains so until its next start.
+    pub fn update_list(&mut self, listing: &Listing) -> Result<(), ListError> {
         let older = listing.index < self.list_index;
         if older && !listing.snapshot {
-            return false;
+            return Err(ListError::Outdated);
+        }
+        let growth = self.nodes.growth_bytes(listing) + listing.endpoints.len() * NODE_BYTES;
+        let needed = self.node_memory_bytes() + growth;
+        if !self.node_memory.try_resize(needed) {
+            return Err(ListError::NoMemory);
         }
         self.list_received |= listing.snapshot;
         self.list_index = listing.index;
         self.apply_list(listing, if listing.snapshot { ListKind::Whole } else { ListKind::Changes }, older);
-        true
+        Ok(())
     }
 
     /// Applies a list or changes to the nodes and passes them to the core. `older` is set if the version of the list is older
     /// than that of the known one.
     fn apply_list(&mut self, listing: &Listing, kind: ListKind, older: bool) {
-        let now = self.now;
-        self.removed_nodes.retain(|_, (_, removed_at)| now - *removed_at < REMOVED_NODE_RETENTION);
-        let mut entries = Vec::new();
-        for endpoint in &listing.endpoints {
-            let Ok(address) = endpoint.address.parse::<SocketAddr>() else {
-                warn!(
-                    node = endpoint.name,
-                    address = endpoint.address,
-                    "the address of a listed node is not an address and a port; ignoring the node"
-                );
-                continue;
-            };
-            let name = NodeId(Arc::from(endpoint.name.as_str()));
-            // Discovery's clock and the gateway's both count from 1970.
-            let started = endpoint.since_ms / 1e3;
-            if older
-                && self.removed_nodes.get(&name).is_some_and(|(removed_start, _)| started <= *removed_start)
-            {
-                continue;
-            }
-            // The node as it is known, unless it has restarted since.
-            let known_node = self.nodes.get(&name).filter(|node| node.started >= started);
-            let condition = match endpoint.status {
-                Status::InService if older && known_node.is_some_and(Node::is_draining) => {
-                    NodeCondition::Draining
-                }
-                Status::InService => NodeCondition::Ready,
-                Status::Terminating => NodeCondition::Draining,
-                Status::Terminated => NodeCondition::Removed,
-            };
-            match condition {
-                NodeCondition::Removed => self.remove_node(&name),
-                _ => {
-                    self.removed_nodes.remove(&name);
-                    let new_node = || Node { address, pool: Pool::default(), draining_since: None, started };
-                    let node = self.nodes.entry(name.clone()).or_insert_with(new_node);
-                    if node.incarnation() != (address, started) {
-                        // The node moved or restarted: its idle connections lead to the previous process.
-                        node.pool.clear();
-                        (node.address, node.started) = (address, started);
-                    }
-                    if condition == NodeCondition::Ready {
-                        node.draining_since = None;
-                    } else {
-                        // Only a change says that the node drains from now on; a whole list may report a drain that began
-                        // long ago.
-                        let since = if kind == ListKind::Changes { now } else { f64::NEG_INFINITY };
-                        node.draining_since.get_or_insert(since);
-                        node.pool.clear();
-                    }
-                }
-            }
-            entries.push(ListedNode {
-                node_id: name,
-                block: BlockId(endpoint.group),
-                zone: endpoint.zone.as_deref().and_then(ZoneId::from_name),
-                condition,
-                started,
-                size: endpoint.weight,
-            });
-        }
-        if kind != ListKind::Changes {
-            let listed: BTreeSet<&NodeId> = entries.iter().map(|entry| &entry.node_id).collect();
-            let removed: Vec<NodeId> =
-                self.nodes.keys().filter(|name| !listed.contains(name)).cloned().collect();
-            removed.iter().for_each(|name| self.remove_node(name));
-        }
-        debug!(index = listing.index, scope = ?kind, entries = entries.len(), "list");
+        let entries = self.nodes.apply(self.now, listing, kind, older);
         self.events.push_back(CoreEvent::NodeList(kind, entries));
     }
 
-    /// Removes a node that is no longer listed.
-    fn remove_node(&mut self, name: &NodeId) {
-        if let Some(node) = self.nodes.remove(name) {
-            self.removed_nodes.insert(name.clone(), (node.started, self.now));
-        }
+    /// The memory of the nodes, here and in the core, bytes.
+    fn node_memory_bytes(&self) -> usize {
+        self.nodes.memory_bytes() + self.core.node_memory_bytes()
     }
 
     // Clients.
--- a/crates/platform/src/json_stream.rs
+++ b/crates/platform/src/json_stream.rs
@@ -49,6 +49,11 @@
         JsonSplitter { buffer: Vec::new(), position: Position::BetweenObjects, max_object }
     }
 
+    /// Memory that the splitter holds, bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns the parts that these bytes complete, in order. After an error nothing more can be read.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<StreamPart>, Error> {
         let mut parts = Vec::new();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,8 +4,9 @@
 //! the core requests are executed there too; [`outcome`] maps how a shot ended to the core's outcome. This crate takes no
 //! scheduling decisions.
 
-mod allocator;
+pub mod allocator;
 pub mod config;
+mod config_file;
 mod discovery;
 mod front;
 pub mod headers;
@@ -14,6 +15,7 @@
 mod instance;
 pub mod json_stream;
 pub mod memory;
+mod node_table;
 pub mod outcome;
 pub mod replay_window;
 mod upstream;
@@ -79,7 +81,6 @@
 
 /// Runs one gateway until SIGTERM and returns its counts.
 pub fn run(config: Config) -> io::Result<Counts> {
-    allocator::configure();
     let signals = Signals::new([Signal::Term, Signal::Hup])?;
     let listener = listen(&config)?;
     let executor = Rc::new(LocalExecutor::new());
@@ -88,7 +89,7 @@
     let weak = Rc::downgrade(&instance);
     info!(address = %listener.get_ref().local_addr()?, %discovery, "listening");
     spawn(&executor, TaskKind::Timers, Peer::None, run_timers(weak.clone()));
-    let watch = discovery::watch_loop(weak.clone(), discovery, 0);
+    let watch = discovery::watch_loop(&instance, discovery);
     spawn(&executor, TaskKind::Discovery, Peer::Address(discovery), watch);
     spawn(&executor, TaskKind::Report, Peer::None, report_counts(weak.clone()));
     let accept = accept_clients(weak.clone(), Rc::downgrade(&executor), listener);
@@ -156,20 +157,16 @@
 async fn handle_signals(
     instance: WeakInstance, mut signals: Signals, executor: WeakExecutor, terminate: Rc<Notify>,
 ) {
-    let mut source = 0;
     while let Some(signal) = signals.next().await {
         let (Some(this), Some(executor)) = (instance.upgrade(), executor.upgrade()) else { return };
         match signal {
             Ok(Signal::Hup) => {
-                let path = this.borrow().config.path.clone();
-                match Config::read(&path, |name| std::env::var(name).ok()) {
-                    Ok(config) => {
-                        source += 1;
-                        this.borrow_mut().newest_source = source;
-                        info!(discovery = %config.discovery, "configuration reloaded");
-                        // The previous address stays in use until the new one has sent its whole list.
-                        let watch = discovery::watch_loop(instance.clone(), config.discovery, source);
-                        spawn(&executor, TaskKind::Discovery, Peer::Address(config.discovery), watch);
+                let reloaded = this.borrow().reload_config();
+                match reloaded {
+                    Ok(address) => {
+                        info!(discovery = %address, "configuration reloaded");
+                        let watch = discovery::watch_loop(&this, address);
+                        spawn(&executor, TaskKind::Discovery, Peer::Address(address), watch);
                     }
                     Err(error) => warn!(%error, "the configuration cannot be read; keeping the previous one"),
                 }
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -19,8 +19,9 @@
 use crate::headers::{self, NodeReport};
 use crate::idle_reuse::MIN_IDLE_TIME;
 use crate::incoming::{IncomingResponse, Reception};
-use crate::instance::{ForwardedRequest, Node, Shot, WeakInstance};
+use crate::instance::{ForwardedRequest, Shot, WeakInstance};
 use crate::memory::{MemoryAccount, MemoryKind, MemoryPermit, SMALL_BYTES};
+use crate::node_table::{Node, NodeTable};
 use crate::outcome::ShotEnd;
 use crate::{vectored, MAX_READ_BYTES};
 
@@ -117,7 +118,7 @@
 }
 
 /// Closes the connection that is idle for longest among the pools of all nodes; false if there is none.
-fn close_oldest_idle(nodes: &mut std::collections::BTreeMap<quaypath::types::NodeId, Node>) -> bool {
+fn close_oldest_idle(nodes: &mut NodeTable) -> bool {
     let oldest = nodes.values_mut().filter(|node| node.pool.oldest().is_some());
     let oldest = oldest.min_by(|left, right| left.pool.oldest().partial_cmp(&right.pool.oldest()).unwrap());
     oldest.map(|node| node.pool.0.remove(0)).is_some()
--- a/crates/platform/tests/headers_and_config.rs
+++ b/crates/platform/tests/headers_and_config.rs
@@ -217,3 +217,34 @@
     let error = Config::read(&path, |_| None).expect_err("an invalid configuration").to_string();
     assert!(error.contains(message) && error.contains("quaypath-"), "{error}");
 }
+
+/// Guards against a reload that takes what a start would refuse, or that keeps another address than the file names.
+#[test]
+fn a_reloaded_configuration_is_checked_as_a_whole() {
+    let mut value: Value = serde_json::from_str(SAMPLE).expect("JSON");
+    let path = write_config("reloaded", &value);
+    let config = Config::read(&path, |_| None).expect("a valid configuration");
+    let mut reload = |pointer: &str, entry: Value| {
+        let previous = std::mem::replace(value.pointer_mut(pointer).expect("an entry of the sample"), entry);
+        write_config("reloaded", &value);
+        *value.pointer_mut(pointer).expect("an entry") = previous;
+        config.reload(|_| None)
+    };
+    let known_node = |status: &str| json!({"index": 4, "endpoints": [{"name": "s-1", "address": "127.0.0.1:1", "status": status}]});
+    assert!(reload("/known", known_node("terminating")).is_ok());
+    let moved = reload("/discovery", json!("127.0.0.1:7")).expect("a valid configuration");
+    assert_eq!(moved.port(), 7);
+    for (pointer, invalid, message) in [
+        ("/known", json!({"index": 4, "endpoints": [{"name": "s-1"}]}), "known: found missing field"),
+        ("/known", known_node("away"), "known: found unknown variant"),
+        ("/settings/Grades/1/Objective", json!("soon"), "setting Grades.1.Objective: cannot read 'soon'"),
+        ("/limits", json!({"sockets": 3}), "64 sockets"),
+        ("/name", json!("n".repeat(40_000)), "bytes beside its node list"),
+    ] {
+        let error = reload(pointer, invalid).expect_err("an invalid configuration").to_string();
+        assert!(error.contains(message), "{error}");
+    }
+    std::fs::write(&path, SAMPLE.trim_end().trim_end_matches('}')).expect("a writable file");
+    let error = config.reload(|_| None).expect_err("half a file").to_string();
+    assert!(error.contains("the file: found EOF"), "{error}");
+}
--- a/crates/platform/tests/memory.rs
+++ b/crates/platform/tests/memory.rs
@@ -5,7 +5,8 @@
 use async_executor::LocalExecutor;
 use futures_lite::future::{block_on, yield_now};
 use quaypath_platform::memory::{
-    allocated_bytes, MemoryAccount, MemoryKind, MemoryLimits, MemoryUse, SMALL_BYTES, TRANSACTION_BYTES,
+    allocated_bytes, ControlMemory, MemoryAccount, MemoryKind, MemoryLimits, MemoryUse, SMALL_BYTES,
+    TRANSACTION_BYTES,
 };
 use test_case::test_case;
 
@@ -15,6 +16,9 @@
         capacity: 100_000,
         response_reserve: 30_000,
         small_reserve: 20_000,
+        list_reserve: 0,
+        max_list_reserve: 0,
+        configuration_reserve: 0,
         max_request_bodies: 40_000,
         max_response_body: 30_000,
         max_clients: 10,
@@ -77,24 +81,57 @@
     }));
 }
 
+/// Guards against clients that keep the gateway from its node lists and its configuration, and against lists that take the part
+/// of the configuration.
+#[test]
+fn node_lists_and_configurations_have_room_beside_clients() {
+    let limits = MemoryLimits { list_reserve: 20_000, max_list_reserve: 40_000, ..*account().limits() };
+    let account = MemoryAccount::new(MemoryLimits { configuration_reserve: 10_000, ..limits });
+    // Beside the reserves for responses, 30 kB, small requests, 20 kB, lists and configuration.
+    let mut request = account.try_hold(MemoryKind::ReceiveBuffer, 20_000).expect("fits");
+    assert!(!request.try_resize(20_001), "the reserves are kept");
+    let mut list =
+        account.try_hold(MemoryKind::Discovery, 70_000).expect("all that is left, but for a configuration");
+    assert!(!list.try_resize(70_001) && account.try_hold(MemoryKind::Node, 1).is_none());
+    assert!(account.try_hold(MemoryKind::Configuration, 10_000).is_some());
+    // A longer list keeps more from clients, within the bound.
+    assert!(list.try_resize(0));
+    account.raise_list_reserve(30_000);
+    assert!(request.try_resize(10_000) && !request.try_resize(10_001));
+    account.raise_list_reserve(90_000);
+    drop(request);
+    assert!(account.try_hold(MemoryKind::ResponseBody, 30_001).is_none());
+    assert!(account.try_hold(MemoryKind::ResponseBody, 30_000).is_some());
+}
+
 /// Guards against a sum of limits beyond the memory of the process, for the most and the least of the settings.
-#[test_case(16e6, 8 << 20, 1024)]
-#[test_case(32e6, 6 << 20, 1024)]
-#[test_case(32e6, 13 << 20, 256)]
-#[test_case(192e6, 6 << 20, 1024)]
-#[test_case(2048e6, 6 << 20, 4096)]
-#[test_case(16e6, 20 << 20, 1024; "no memory is left")]
-fn the_limits_stay_within_the_memory_of_the_process(process: f64, resident: usize, descriptors: usize) {
-    let limits = MemoryLimits::new(process, resident, descriptors * 45 / 100, descriptors * 36 / 100);
+#[test_case(16e6, 8 << 20, 1024, 0)]
+#[test_case(32e6, 6 << 20, 1024, 0)]
+#[test_case(32e6, 13 << 20, 256, 0)]
+#[test_case(192e6, 6 << 20, 1024, 0)]
+#[test_case(2048e6, 6 << 20, 4096, 0)]
+#[test_case(16e6, 20 << 20, 1024, 0; "no memory is left")]
+#[test_case(32e6, 6 << 20, 1024, 3200; "a large fleet")]
+#[test_case(16e6, 8 << 20, 1024, 30_000; "a fleet that is too large")]
+fn the_limits_stay_within_the_memory_of_the_process(
+    process: f64, resident: usize, descriptors: usize, nodes: usize,
+) {
+    let control = ControlMemory { nodes: nodes << 10, lists: nodes << 10, configuration: 400_000 };
+    let (clients, node_connections) = (descriptors * 45 / 100, descriptors * 36 / 100);
+    let limits = MemoryLimits::new(process, resident, clients, node_connections, control);
     let volumes = limits.max_volumes * quaypath_platform::memory::VOLUME_BYTES;
     assert!(limits.capacity + volumes <= (process as usize).saturating_sub(resident));
     // Each client has room for its connection and a small request.
     let client = quaypath_platform::memory::CONNECTION_BYTES + TRANSACTION_BYTES + SMALL_BYTES;
     assert!(limits.max_clients * client <= limits.capacity / 2);
+    // What the clients may use with small requests leaves the nodes, their lists and a configuration.
+    let clients = limits.max_clients * client;
+    assert!(clients == 0 || clients + control.nodes + limits.list_reserve <= limits.capacity);
     assert!(limits.max_clients <= descriptors * 45 / 100);
 }
 
 #[test_case(0, 0)]
+#[test_case(1, 32; "the least allocation")]
 #[test_case(100, 116)]
 #[test_case(4 << 10, 8 << 10; "a page and the header of the allocation")]
 #[test_case((8 << 10) - 16, 8 << 10)]
--- a/crates/programs/src/bin/gateway.rs
+++ b/crates/programs/src/bin/gateway.rs
@@ -142,6 +142,8 @@
 
 /// Serves on the platform.
 fn serve_platform() -> Result<bool, String> {
+    // The configuration may have a long node list, of which nothing is to stay in the heap.
+    quaypath_platform::allocator::configure();
     let path = std::env::var_os("BALANCER_CONFIG")
         .ok_or("BALANCER_CONFIG is not set; it must be the path of a configuration file")?;
     let config =
--- a/crates/programs/tests/memory.rs
+++ b/crates/programs/tests/memory.rs
@@ -4,16 +4,17 @@
 mod rig;
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Barrier, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rig::{
-    exchange, node_list, put_request, request_id, wait_until, write_response, Discovery, Gateway, Node,
+    exchange, node_list, put_request, read_message, request_id, wait_until, write_response, Discovery,
+    Gateway, Node,
 };
-use serde_json::json;
+use serde_json::{json, Value};
 use test_case::test_case;
 
 /// The least memory of the platform, megabytes, and the most descriptors that come with it.
@@ -68,8 +69,17 @@
 
 /// Resident memory of a process, bytes.
 fn resident_bytes(process: u32) -> usize {
+    memory_field(process, "VmRSS:")
+}
+
+/// The most resident memory that a process has had, bytes.
+fn peak_resident_bytes(process: u32) -> usize {
+    memory_field(process, "VmHWM:")
+}
+
+fn memory_field(process: u32, field: &str) -> usize {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("the process is running");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a line");
+    let line = status.lines().find_map(|line| line.strip_prefix(field)).expect("a line");
     let kib = line.trim().split(' ').next().and_then(|kib| kib.parse::<usize>().ok()).expect("a number");
     kib << 10
 }
@@ -350,3 +360,121 @@
     assert!(peak <= LITTLE_MEMORY_MB * 1_000_000, "{peak} bytes");
     assert!(10 * served >= 9 * sent, "{served} of {sent}");
 }
+
+/// Number of nodes of the largest fleet that the platform names.
+const LARGE_FLEET: usize = 3200;
+
+/// An indented list in which the first nodes are these; nothing listens at the addresses of the others.
+fn large_list(nodes: &[Node]) -> Value {
+    let names: Vec<String> = (0..LARGE_FLEET).map(|block| format!("s-{:08x}", 0x5be2_0000 + block)).collect();
+    let port = nodes[0].address.port();
+    let nowhere = |block: usize| SocketAddr::from(([127, 1, (block >> 8) as u8, block as u8], port));
+    let address = |block: usize| nodes.get(block).map_or_else(|| nowhere(block), |node| node.address);
+    let entries: Vec<_> =
+        (0..LARGE_FLEET).map(|block| (names[block].as_str(), address(block), "in_service")).collect();
+    let mut list = node_list(41, &entries);
+    (0..LARGE_FLEET).for_each(|block| list["endpoints"][block]["group"] = json!(block));
+    list
+}
+
+/// Starts a discovery that takes a second to send this text as its list. Its watches send empty lines only.
+fn start_slow_discovery(list: &str) -> SocketAddr {
+    const PIECES: usize = 20;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let list: Arc<str> = list.into();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, list) = (stream.expect("a connection"), list.clone());
+            thread::spawn(move || {
+                let Some((head, _)) = read_message(&mut stream) else { return };
+                if head.contains("watch=1") {
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    while stream.write_all(b"1\r\n\n\r\n").is_ok() {
+                        thread::sleep(Duration::from_millis(500));
+                    }
+                }
+                let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+                for piece in list.as_bytes().chunks(list.len().div_ceil(PIECES)) {
+                    thread::sleep(Duration::from_secs(1) / PIECES as u32);
+                    if stream.write_all(piece).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Clients of which each sends its message, waits for an error or a close, and comes again, until `stop` is set.
+fn spawn_stuck_clients(
+    gateway: &Gateway, count: usize, message: impl Fn(usize) -> Vec<u8>, stop: &Arc<AtomicBool>,
+) -> Vec<thread::JoinHandle<()>> {
+    let run = |client| {
+        let (address, message, stop) = (gateway.address, message(client), stop.clone());
+        let run = move || {
+            while !stop.load(Ordering::SeqCst) {
+                let Ok(mut stream) = TcpStream::connect(address) else { continue };
+                stream.set_read_timeout(Some(FLOOD_TIME)).expect("a timeout");
+                if stream.write_all(&message).is_ok() {
+                    let _ = stream.read(&mut [0; 512]);
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+        };
+        thread::Builder::new().stack_size(128 << 10).spawn(run).expect("a thread")
+    };
+    (0..count).map(run).collect()
+}
+
+/// Guards against the kill for memory at new configurations of a large fleet (docs/incidents/reload-memory.md): the file was
+/// decoded whole, with its node list, and several calls each held a list, beside all that clients may hold.
+#[test]
+fn new_configurations_of_a_large_fleet_stay_within_the_memory() {
+    const RELOADS: usize = 4;
+    let _one_at_a_time = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let nodes: Vec<Node> = (0..NODES).map(|_| Node::start(rig::answer_ok)).collect();
+    let list = large_list(&nodes);
+    let text = serde_json::to_string_pretty(&list).expect("JSON");
+    let gateway = Gateway::start(&list, start_slow_discovery(&text), |config| {
+        config["limits"] = json!({"memory_mb": MEMORY_MB, "sockets": DESCRIPTORS});
+        config["settings"]["FamilyInfo"]["NShards"] = json!(LARGE_FLEET);
+    });
+    let mut config: Value =
+        serde_json::from_slice(&std::fs::read(&gateway.config_path).expect("its file")).expect("JSON");
+    let stop = Arc::new(AtomicBool::new(false));
+    let half_body = |client| {
+        let mut request = long_request(client, 0, 64_000).into_bytes();
+        request.truncate(request.len() - 1000);
+        request
+    };
+    let unfinished_head = |client| {
+        let mut head = long_request(client, 0, 0).into_bytes();
+        head.truncate(head.len() - 2);
+        head
+    };
+    let mut clients = spawn_stuck_clients(&gateway, 100, half_body, &stop);
+    clients.extend(spawn_stuck_clients(&gateway, 300, unfinished_head, &stop));
+    for _ in 0..RELOADS {
+        let address = start_slow_discovery(&text);
+        config["discovery"] = json!(address.to_string());
+        std::fs::write(&gateway.config_path, serde_json::to_string_pretty(&config).expect("JSON"))
+            .expect("a file");
+        gateway.send_signal(rustix::process::Signal::HUP);
+        wait_until("the configuration is reloaded", || {
+            gateway.has_logged(&format!("configuration reloaded discovery={address}"))
+        });
+        // The next one comes while this one's lists are being received.
+        thread::sleep(Duration::from_millis(900));
+    }
+    thread::sleep(Duration::from_secs(2));
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().expect("no panic"));
+    let peak = peak_resident_bytes(gateway.child.id());
+    gateway.print_long_polls();
+    println!("{peak} bytes at most");
+    assert!(peak <= MEMORY_MB * 1_000_000, "{peak} bytes");
+    // The list of the last address came through beside the clients.
+    assert_eq!(gateway.send_request("lookup", "last").0, 200);
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -55,9 +55,20 @@
 const QUEUE_LOOK_AHEAD: usize = 16;
 /// Minimum seconds without use after which a volume is evicted.
 const IDLE_SECONDS: f64 = 60.0;
+/// The count of a block's requests, which is halved every IDLE_SECONDS, below which a node that is not listed is forgotten.
+const FORGOTTEN_REQUESTS: f64 = 0.1;
 /// Maximum factor between a completion gap as it is charged and the gap expected from the node's pace.
 const MAX_GAP_FACTOR: f64 = 3.0;
 
+/// An allocation's header and rounding, and an entry of a map with its share of free ones, bytes.
+const ALLOCATION_BYTES: usize = 32;
+const MAP_ENTRY_BYTES: usize = 64;
+/// A node that is listed: its state, its entry, and the names of node and zone.
+pub const NODE_BYTES: usize = size_of::<NodeState>() + 3 * ALLOCATION_BYTES + MAP_ENTRY_BYTES;
+/// What a node takes beyond that once transactions were received for it: its windows, up to 20 s of which are kept, and its
+/// queues.
+pub const USED_NODE_BYTES: usize = 2 << 10;
+
 /// Most measures cover the last 3 s.
 impl Default for SlidingWindow {
     fn default() -> Self {
@@ -79,7 +90,8 @@
     timeouts: SlidingWindow,
     started: f64,
     transactions: BTreeMap<TransactionId, Transaction>,
-    nodes: BTreeMap<BlockId, NodeState>,
+    /// By the block that each holds. They are boxed because the free entries of a map's nodes have the size of a value too.
+    nodes: BTreeMap<BlockId, Box<NodeState>>,
     volumes: BTreeMap<VolumeId, Volume>,
     key_queues: BTreeMap<ExtentId, KeyQueue>,
     /// Transactions received for each block. The counts are halved every IDLE_SECONDS.
@@ -211,7 +223,7 @@
             warm_units_at: previous.warm_units_at,
             ..self.new_node_state()
         };
-        self.nodes.insert(entry.block, node);
+        self.nodes.insert(entry.block, Box::new(node));
     }
 
     /// Gives up the transactions that wait for a further shot at this node although none is allowed there any more.
@@ -409,6 +421,16 @@
         (self.volumes.len(), self.key_queues.len())
     }
 
+    /// The memory of what is kept for nodes, bytes; for monitoring.
+    pub fn node_memory_bytes(&self) -> usize {
+        self.nodes.len() * NODE_BYTES + self.requests_per_block.len() * USED_NODE_BYTES
+    }
+
+    /// Whether transactions for this block were received lately.
+    pub fn tracks_block(&self, block: BlockId) -> bool {
+        self.requests_per_block.contains_key(&block)
+    }
+
     /// Whether this volume is tracked.
     pub fn tracks_volume(&self, name: &VolumeId) -> bool {
         self.volumes.contains_key(name)
@@ -456,8 +478,8 @@
         self.key_queues.retain(|_, key_queue| !key_queue.queue.is_empty() || now < key_queue.quiet_until);
     }
 
-    /// Bounds the memory: evicts idle volumes whose limit is full again, keys whose quiet period has ended, and old
-    /// usage reports.
+    /// Bounds the memory: evicts idle volumes whose limit is full again, keys whose quiet period has ended, old usage
+    /// reports, and nodes that are not listed any more.
     fn evict_idle(&mut self, now: f64) {
         self.last_eviction_at = now;
         let mut volumes = std::mem::take(&mut self.volumes);
@@ -472,6 +494,20 @@
             node.usage_reported_at.retain(|_, reported_at| now - *reported_at < IDLE_SECONDS)
         });
         self.requests_per_block.values_mut().for_each(|requests| *requests /= 2.0);
+        self.evict_unlisted_nodes(now);
+    }
+
+    /// Forgets nodes that are not listed and were not asked for lately. What is known of a block is kept for a while, because
+    /// a node that replaces the previous one may be listed later.
+    fn evict_unlisted_nodes(&mut self, now: f64) {
+        let in_use: BTreeSet<BlockId> =
+            self.transactions.values().map(|transaction| transaction.block).collect();
+        let requests = &self.requests_per_block;
+        let was_asked =
+            |block: &BlockId| requests.get(block).is_some_and(|requests| *requests >= FORGOTTEN_REQUESTS);
+        self.nodes.retain(|block, node| node.send_until > now || in_use.contains(block) || was_asked(block));
+        let nodes = &self.nodes;
+        self.requests_per_block.retain(|block, _| nodes.contains_key(block));
     }
 
     /// The client cancelled the transaction: its shot is cancelled, so that nodes do no work that nobody waits for.
@@ -1045,7 +1081,7 @@
 
     /// The state of the node that holds this block; created if the block is not known yet.
     fn node_state(&mut self, block: BlockId) -> &mut NodeState {
-        let new_state = (!self.nodes.contains_key(&block)).then(|| self.new_node_state());
+        let new_state = (!self.nodes.contains_key(&block)).then(|| Box::new(self.new_node_state()));
         self.nodes.entry(block).or_insert_with(|| new_state.unwrap())
     }
 }
--- a/src/sliding_window.rs
+++ b/src/sliding_window.rs
@@ -6,33 +6,44 @@
     width: f64,
     /// Number of the newest bucket: its start time divided by the width.
     epoch: i64,
-    /// The sum of the amounts and the sum of the weights added to each bucket.
+    /// Number of buckets.
+    length: usize,
+    /// The sum of the amounts and the sum of the weights added to each bucket; empty before the first sample, as most
+    /// windows of a large fleet never have one.
     buckets: Vec<(f64, f64)>,
 }
 
 impl SlidingWindow {
     /// A window of `length` buckets of `width` seconds each.
     pub fn new(width: f64, length: usize) -> Self {
-        SlidingWindow { width, epoch: i64::MIN / 2, buckets: vec![(0.0, 0.0); length.max(1)] }
+        SlidingWindow { width, epoch: i64::MIN / 2, length: length.max(1), buckets: Vec::new() }
     }
 
-    /// Clears the buckets that are too old at `now` and returns the index of the current one.
-    fn advance(&mut self, now: f64) -> usize {
+    /// Clears the buckets that are too old at `now`.
+    fn advance(&mut self, now: f64) {
         let epoch = (now / self.width).floor() as i64;
-        let length = self.buckets.len() as i64;
-        if epoch > self.epoch {
-            for stale in (self.epoch + 1).max(epoch - length + 1)..=epoch {
-                self.buckets[stale.rem_euclid(length) as usize] = (0.0, 0.0);
-            }
-            self.epoch = epoch;
+        if epoch <= self.epoch {
+            return;
+        }
+        let oldest = (self.epoch + 1).max(epoch - self.length as i64 + 1);
+        self.epoch = epoch;
+        if !self.buckets.is_empty() {
+            (oldest..=epoch).for_each(|stale| *self.bucket(stale) = (0.0, 0.0));
         }
-        self.epoch.rem_euclid(length) as usize
+    }
+
+    /// The bucket with this number.
+    fn bucket(&mut self, epoch: i64) -> &mut (f64, f64) {
+        if self.buckets.is_empty() {
+            self.buckets = vec![(0.0, 0.0); self.length];
+        }
+        &mut self.buckets[epoch.rem_euclid(self.length as i64) as usize]
     }
 
     pub fn add(&mut self, now: f64, amount: f64, weight: f64) {
-        let index = self.advance(now);
-        self.buckets[index].0 += amount;
-        self.buckets[index].1 += weight;
+        self.advance(now);
+        let bucket = self.bucket(self.epoch);
+        (bucket.0, bucket.1) = (bucket.0 + amount, bucket.1 + weight);
     }
 
     /// Like [`SlidingWindow::add`], for a sample of time `sample_time`. Returns false, and adds nothing, if that
@@ -40,10 +51,9 @@
     pub fn add_at(&mut self, now: f64, sample_time: f64, amount: f64, weight: f64) -> bool {
         self.advance(now);
         let epoch = (sample_time / self.width).floor() as i64;
-        let length = self.buckets.len() as i64;
-        let inside = (self.epoch - length + 1..=self.epoch).contains(&epoch);
+        let inside = (self.epoch - self.length as i64 + 1..=self.epoch).contains(&epoch);
         if inside {
-            let bucket = &mut self.buckets[epoch.rem_euclid(length) as usize];
+            let bucket = self.bucket(epoch);
             (bucket.0, bucket.1) = (bucket.0 + amount, bucket.1 + weight);
         }
         inside
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,5 +1,6 @@
 //! Identifiers, settings, event values and actions of the decision core. Times are in seconds.
 
+use std::borrow::Borrow;
 use std::sync::Arc;
 
 /// A transaction at one initiator.
@@ -8,6 +9,13 @@
 /// The address of a storage node.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeId(pub Arc<str>);
+
+impl Borrow<str> for NodeId {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 /// The name of a volume.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct VolumeId(pub Arc<str>);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -481,6 +481,40 @@
     assert!(volumes < 200 && keys < 200, "{volumes} volumes, {keys} keys");
 }
 
+/// Guards against memory that grows with the blocks that clients name and with the nodes that were ever listed.
+#[test]
+fn nodes_that_are_not_listed_are_forgotten_once_nobody_asks_for_them() {
+    let mut initiator = one_node(settings());
+    let before = initiator.scheduler.node_memory_bytes();
+    for id in 0..500 {
+        initiator.receive(id, 0, 1, 1.0, Some(1000 + id as i64)).run_until(100.0 + id as f64 / 100.0);
+    }
+    assert!(initiator.scheduler.node_memory_bytes() > before + 500 * 1000, "each block is kept for now");
+    let listed = |number: i64| ListedNode {
+        node_id: NodeId(format!("b{number}").into()),
+        block: BlockId(2000 + number),
+        zone: None,
+        condition: Ready,
+        started: 0.0,
+        size: 1.0,
+    };
+    let entries: Vec<ListedNode> = (0..500).map(listed).collect();
+    initiator.scheduler.node_list_received(110.0, Whole, &entries, &mut initiator.actions);
+    initiator.add_node("a", 1);
+    // Five times the time after which unused things go.
+    for minute in 2..8 {
+        let (id, at) = (1000 + minute, 100.0 + 61.0 * minute as f64);
+        initiator.run_until(at).receive(id, 0, 1, 1.0, Some(1)).complete(id, "a", Settled);
+    }
+    initiator.take_actions();
+    assert!(!initiator.scheduler.tracks_block(BlockId(1000)) && initiator.scheduler.tracks_block(BlockId(1)));
+    let after = initiator.scheduler.node_memory_bytes();
+    assert!(after < before + 510 * 2000 && after > before + 500 * 500, "the listed nodes only: {after}");
+    initiator.scheduler.node_list_received(700.0, Whole, &entries[..1], &mut initiator.actions);
+    initiator.add_node("a", 1).run_until(701.0).receive(2000, 0, 1, 1.0, Some(1)).take_actions();
+    assert!(initiator.scheduler.node_memory_bytes() < before + 8000, "removed nodes go");
+}
+
 /// Guards against memory that grows with the volumes that clients name, and against a limit that an evicted volume passes:
 /// the least recently used go first, those in use and those whose limit is not full again stay.
 #[test]
