Clients with whole requests keep their places beside a crowd of half requests

Cause: a half request held its place for up to 2.5 s and was never closed to make room, idle usual connections were; who came back was accepted beyond the limit and, past a few refusals, dropped unread. Shown by the counts: evicted and turned_away grew, memory.refused stayed 0. Change: the client connections have a table of their own. A place is taken from a stopped or slow request before an idle connection, and idle ones stay while those that were not served hold half of the places. Else the new connection is looked at in the lobby (the descriptors of refusals): a whole request takes the place of one that has not sent its own, others are told 503; past that they wait in the listener's queue. Where memory is short, stopped requests go. Why it works: a place is held only by clients that get on with their request, so a crowd that does not cannot hold them. Failed tries: silent connections in the lobby were told 503, which idle_connection_flood_does_not_block_active_clients does not take for a close; evicting on each look while closers were pending (client_table.rs).

--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -18,7 +18,7 @@
     pub close: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Stage {
     /// The head is incomplete; this many bytes were searched for its end.
     Head(usize),
@@ -27,7 +27,7 @@
 
 /// Takes the bytes of a connection in any pieces and returns its requests one by one; bytes after a request are kept for
 /// the next one.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct RequestDecoder {
     buffer: Vec<u8>,
     stage: Stage,
--- a/crates/initiator/src/polls.rs
+++ b/crates/initiator/src/polls.rs
@@ -52,8 +52,8 @@
     /// Signals of the operating system.
     Signals,
     Timers,
-    /// Refusal of a client beyond the connection limit.
-    TurnAway,
+    /// First look at a client beyond the connection limit, and its refusal.
+    Lobby,
 }
 
 /// Peer that a task communicates with, as it is logged.
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -2,10 +2,10 @@
 
 use std::cell::RefCell;
 use std::future::pending;
-use std::io;
+use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -16,7 +16,8 @@
 use quaypath_initiator::event_loop::{read_some, run_turn, try_read, with_timeout, Driver, Notify, Received};
 use quaypath_initiator::polls::yield_if_spent;
 
-use crate::instance::{SharedInstance, ShutdownStage, WeakInstance};
+use crate::client_table::{AddedClient, ConnectionState, LobbyPermit, SLOW_REQUEST_GRACE};
+use crate::instance::{Instance, SharedInstance, ShutdownStage, WeakInstance};
 use crate::memory::{allocated_bytes, MemoryAccount, MemoryKind, MemoryPermit, CONNECTION_BYTES};
 use crate::{vectored, MAX_READ_BYTES};
 
@@ -36,49 +37,15 @@
 const MAX_LINGER_BYTES: usize = 1 << 20;
 /// Longest time for refusing a client beyond the connection limit, seconds: descriptors are scarce then.
 const REFUSAL_TIMEOUT: f64 = 0.2;
+/// Time that a client in the lobby has for the first bytes of its request, seconds.
+const LOBBY_TIMEOUT: f64 = 0.02;
+/// Interval of the checks whether an evicted connection has left its place.
+const PLACE_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+/// Status of the responses to requests for which there is no memory.
+const NO_MEMORY: u16 = 503;
 /// Interval of the readiness checks for a client that asked for `/up` while the gateway is not ready.
 const READINESS_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The state of a client connection. Every change is made by [`ClientConnection::set_state`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectionState {
-    /// Opened, and no complete request received yet.
-    Fresh,
-    /// Between two requests.
-    Idle,
-    /// A request is partly received.
-    Reading,
-    /// A transaction is open.
-    Busy,
-    /// The connection is to be closed, unless a request has arrived meanwhile.
-    Closing,
-    /// As `Closing`, and without lingering, because its descriptor is needed at once.
-    Evicted,
-    /// No more is sent on it, and what still arrives is discarded for a limited time.
-    Lingering,
-}
-
-/// What the instance knows of a client connection.
-pub struct ClientConnection {
-    pub state: ConnectionState,
-    /// Since when it is in this state, seconds.
-    pub since: f64,
-    /// Asks the task of the connection to close it.
-    pub close_request: Rc<Notify>,
-}
-
-impl ClientConnection {
-    pub fn set_state(&mut self, next: ConnectionState, now: f64) {
-        (self.state, self.since) = (next, now);
-        if matches!(next, ConnectionState::Closing | ConnectionState::Evicted) {
-            self.close_request.notify();
-        } else {
-            // A request arrived before the close request, which must not take effect at the next wait.
-            self.close_request.clear();
-        }
-    }
-}
-
 /// The final answer of a transaction.
 pub enum FinalAnswer {
     /// Content type and body from the node, and the memory of the body.
@@ -141,27 +108,33 @@
     }
 }
 
-/// Serves one client connection until it ends.
+/// Serves one client connection until it ends. `decoder` has what was received before.
 pub async fn serve(
-    instance: WeakInstance, number: u64, close_request: Rc<Notify>, stream: Rc<Async<TcpStream>>,
+    instance: WeakInstance, (number, close_request): AddedClient, stream: Rc<Async<TcpStream>>,
+    decoder: RequestDecoder,
 ) {
-    let Some(memory) = instance.upgrade().map(|this| this.borrow().memory.clone()) else { return };
+    let Some((memory, now)) = instance.upgrade().map(|this| {
+        let this = this.borrow();
+        (this.memory.clone(), this.clock_now())
+    }) else {
+        return;
+    };
     let mut task = ClientTask {
         instance,
-        buffer_memory: memory.hold(MemoryKind::ReceiveBuffer, 0),
+        buffer_memory: memory.hold(MemoryKind::ReceiveBuffer, allocated_bytes(decoder.memory_bytes())),
         body_memory: memory.hold(MemoryKind::RequestBody, 0),
         _connection_memory: memory.hold(MemoryKind::Connection, CONNECTION_BYTES),
         memory,
         number,
         close_request,
         stream,
-        decoder: RequestDecoder::default(),
+        last_received: if decoder.has_partial_request() { now } else { 0.0 },
+        decoder,
         overrun: false,
-        last_received: 0.0,
     };
     let _ = task.run().await;
     if let Some(this) = task.instance.upgrade() {
-        this.borrow_mut().clients.remove(&number);
+        this.borrow_mut().clients.remove(number);
     }
 }
 
@@ -198,20 +171,19 @@
         self.instance.upgrade().ok_or(io::ErrorKind::NotConnected.into())
     }
 
-    /// Sets the state of the connection and returns the current time. A fresh connection does not become idle.
+    /// Sets the state of the connection and returns the current time.
     fn enter(&self, state: ConnectionState) -> io::Result<f64> {
         let this = self.instance()?;
         let mut this = this.borrow_mut();
         let now = this.clock_now();
-        if let Some(client) = this.clients.get_mut(&self.number) {
-            let previous = client.state;
-            if previous != state && !(previous == ConnectionState::Fresh && state == ConnectionState::Idle) {
-                client.set_state(state, now);
-            }
-        }
+        this.clients.set_state(self.number, state, now);
         Ok(now)
     }
 
+    fn is_evicted(&self) -> io::Result<bool> {
+        Ok(self.instance()?.borrow().clients.state(self.number) == Some(ConnectionState::Evicted))
+    }
+
     /// Serves the requests of the connection one after the other until it ends.
     async fn run(&mut self) -> io::Result<()> {
         loop {
@@ -249,6 +221,9 @@
                     return Ok(Some((request, std::mem::replace(&mut self.body_memory, no_memory))));
                 }
                 Err(error) => {
+                    if error.status == NO_MEMORY {
+                        self.evict_stalled_clients()?;
+                    }
                     self.reject(error.status, error.reason).await?;
                     return Ok(None);
                 }
@@ -262,8 +237,17 @@
                     self.reject(503, "the process ends").await?;
                     return Ok(None);
                 }
-                let now = self.enter(ConnectionState::Reading)?;
-                deadline.get_or_insert(now + REQUEST_TIMEOUT);
+                let now = self.clock_now()?;
+                let began = *deadline.get_or_insert(now + REQUEST_TIMEOUT) - REQUEST_TIMEOUT;
+                if !self.is_evicted()? {
+                    self.enter(ConnectionState::Reading)?;
+                } else if now - began > SLOW_REQUEST_GRACE || self.nothing_arrived()? {
+                    self.reject(408, "the rest of the request did not come in time").await?;
+                    return Ok(None);
+                } else {
+                    self.instance()?.borrow_mut().clients.resume_request(self.number, began, now);
+                    continue;
+                }
             }
             match self.wait_for_bytes(deadline).await? {
                 WaitEnd::Bytes => {}
@@ -287,6 +271,19 @@
         }
     }
 
+    fn clock_now(&self) -> io::Result<f64> {
+        Ok(self.instance()?.borrow().clock_now())
+    }
+
+    /// Lets go of clients whose requests do not arrive, because there is no memory for another one.
+    fn evict_stalled_clients(&self) -> io::Result<()> {
+        let this = self.instance()?;
+        let mut this = this.borrow_mut();
+        let now = this.clock_now();
+        this.clients.evict_stalled(now);
+        Ok(())
+    }
+
     /// Decodes the next request and reserves the memory for it; `None` if it is not complete.
     fn decode_request(&mut self) -> Result<Option<Request>, DecodeError> {
         let mut decoded = self.decoder.poll()?;
@@ -298,12 +295,12 @@
             None => self.decoder.announced_body(),
         };
         if !self.body_memory.try_resize(allocated_bytes(body_capacity)) {
-            return Err(DecodeError { status: 503, reason: "no room for a body" });
+            return Err(DecodeError { status: NO_MEMORY, reason: "no room for a body" });
         }
         if decoded.is_some() {
             self.keep_received();
         } else if !self.buffer_memory.try_resize(allocated_bytes(self.decoder.memory_bytes())) {
-            return Err(DecodeError { status: 503, reason: "no room for a head" });
+            return Err(DecodeError { status: NO_MEMORY, reason: "no room for a head" });
         }
         Ok(decoded)
     }
@@ -426,18 +423,20 @@
         if let Some(this) = self.instance.upgrade() {
             this.borrow_mut().counts.rejected += 1;
         }
-        self.write([&encode_error_response(status, reason)]).await?;
+        let response = encode_error_response(status, reason);
+        if self.is_evicted()? {
+            // Its place is needed at once.
+            let _ = self.stream.get_ref().write(&response);
+        } else {
+            self.write([&response]).await?;
+        }
         self.close().await
     }
 
     /// Closes the connection for sending, and discards what still arrives for a limited time or until the connection is
     /// evicted.
     async fn close(&self) -> io::Result<()> {
-        let this = self.instance()?;
-        let evicted = this.borrow().clients.get(&self.number).map(|client| client.state)
-            == Some(ConnectionState::Evicted);
-        drop(this);
-        if evicted {
+        if self.is_evicted()? {
             return self.stream.get_ref().shutdown(Shutdown::Write);
         }
         self.enter(ConnectionState::Lingering)?;
@@ -465,14 +464,54 @@
     with_timeout(LINGER_TIMEOUT, discard).await
 }
 
+/// Serves a client for which there was no place if its first bytes are a whole request that can be given one, and otherwise
+/// refuses it. `permit` is one of the limited number for such clients.
+pub async fn serve_in_lobby(instance: WeakInstance, stream: Rc<Async<TcpStream>>, permit: LobbyPermit) {
+    let mut decoder = RequestDecoder::default();
+    let first_read = read_some(&stream, MAX_READ_BYTES, |bytes| decoder.feed(bytes));
+    let _ = with_timeout(LOBBY_TIMEOUT, first_read).await;
+    if !decoder.has_partial_request() {
+        // It has asked for nothing that could be refused.
+        let _ = stream.get_ref().shutdown(Shutdown::Write);
+        return;
+    }
+    let Some(account) = instance.upgrade().map(|this| this.borrow().memory.clone()) else { return };
+    let memory = account.try_hold(MemoryKind::ReceiveBuffer, allocated_bytes(decoder.memory_bytes()));
+    let is_whole = memory.is_some() && matches!(decoder.clone().poll(), Ok(Some(_)));
+    let added = if is_whole { place_for_request(&instance).await } else { None };
+    drop(memory);
+    match added {
+        Some(client) => {
+            drop(permit);
+            serve(instance, client, stream, decoder).await;
+        }
+        None => refuse(&instance, &stream).await,
+    }
+}
+
+/// A place for a client whose request has arrived whole; `None` if there is none.
+async fn place_for_request(instance: &WeakInstance) -> Option<AddedClient> {
+    let began = Instant::now();
+    loop {
+        let added = run_turn(&instance.upgrade()?, Instance::client_connected_with_request);
+        if added.is_some() || began.elapsed().as_secs_f64() > LOBBY_TIMEOUT {
+            return added;
+        }
+        // An evicted connection may still be closing.
+        Timer::after(PLACE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Refuses a client beyond the connection limit with a 503 response, which tells it that it may retry; a bare close would not.
-/// `_permit` is one of the limited number of concurrent refusals.
-pub async fn refuse(stream: Rc<Async<TcpStream>>, _permit: Rc<()>) {
+async fn refuse(instance: &WeakInstance, stream: &Async<TcpStream>) {
+    if let Some(this) = instance.upgrade() {
+        this.borrow_mut().counts.refused += 1;
+    }
     let text = encode_error_response(503, "no room for a connection");
-    let mut writer = &*stream;
+    let mut writer = stream;
     let refusal = async {
         writer.write_all(&text).await?;
-        linger(&stream).await
+        linger(stream).await
     };
     let _ = with_timeout(REFUSAL_TIMEOUT, refusal).await;
 }
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -2,8 +2,7 @@
 //! passed to the core here, and the actions that the core requests are executed here. This module takes no scheduling
 //! decisions.
 //!
-//! Limits, and what happens when they are reached: client connections (the longest idle one is closed, or else the new one
-//! is refused), memory for requests (the request is rejected before the core sees it; see [`crate::memory`]), connections to
+//! Limits, and what happens when they are reached: client connections (see [`crate::client_table`]), memory for requests (the request is rejected before the core sees it; see [`crate::memory`]), connections to
 //! nodes (an idle one is closed, or else the shot ends as one that could not connect), remembered request ids (the oldest is
 //! removed).
 
@@ -25,11 +24,10 @@
 use quaypath_record::Clock;
 use tracing::{debug, info};
 
+use crate::client_table::{AddedClient, Admission, ClientTable};
 use crate::config::{self, Config};
 use crate::discovery::{control_memory, DiscoverySources, ListError, Listing};
-use crate::front::{
-    AnswerSlot, ClientConnection, ConnectionState, FinalAnswer, IDLE_TIMEOUT, IDLE_TIMEOUT_UNDER_PRESSURE,
-};
+use crate::front::{AnswerSlot, FinalAnswer, IDLE_TIMEOUT, IDLE_TIMEOUT_UNDER_PRESSURE};
 use crate::headers::{decode_transaction, encode_forwarded_head, NodeReport};
 use crate::idle_reuse::IdleReuse;
 use crate::memory::{
@@ -59,11 +57,10 @@
 const CLIENT_SHARE: f64 = 0.45;
 /// Share of the available descriptors for connections to nodes.
 const NODE_SHARE: f64 = 0.36;
-/// Client connections allowed beyond their share, while the evicted ones close.
-const MAX_CLOSING_CLIENTS: usize = 4;
-/// Share of the available descriptors for clients that are being refused, and the least number of them.
-const REFUSAL_SHARE: f64 = 0.04;
-const MIN_REFUSALS: usize = 4;
+/// Share of the available descriptors for clients that are looked at in the lobby or being refused, and the least number of
+/// them.
+const LOBBY_SHARE: f64 = 0.04;
+const MIN_LOBBY_CLIENTS: usize = 4;
 /// Time that the gateway waits for discovery's first list before it reports that it is ready, seconds. What the discovery
 /// agent knows counts as reported to the gateway from the first moment of the process; if discovery is silent, it has
 /// reported nothing.
@@ -270,13 +267,7 @@
     open: BTreeMap<u64, OpenTransaction>,
     next_id: u64,
     replay_window: ReplayWindow,
-    /// Client connections by number.
-    pub clients: BTreeMap<u64, ClientConnection>,
-    next_client: u64,
-    max_clients: usize,
-    /// Cloned for each refusal in progress; the reference count limits their number.
-    refusal_permit: Rc<()>,
-    max_refusals: usize,
+    pub clients: ClientTable,
     started: f64,
     pub nodes: NodeTable,
     /// Memory of the nodes, here and in the core.
@@ -375,11 +366,10 @@
             open: BTreeMap::new(),
             next_id: 1,
             replay_window: ReplayWindow::default(),
-            clients: BTreeMap::new(),
-            next_client: 1,
-            max_clients: memory_limits.max_clients,
-            refusal_permit: Rc::default(),
-            max_refusals: descriptors(REFUSAL_SHARE).max(MIN_REFUSALS),
+            clients: ClientTable::new(
+                memory_limits.max_clients,
+                descriptors(LOBBY_SHARE).max(MIN_LOBBY_CLIENTS),
+            ),
             started: now,
             nodes: NodeTable::default(),
             node_memory: memory.hold(MemoryKind::Node, 0),
@@ -711,81 +701,33 @@
         self.list_received || self.clock.now() - self.started >= FIRST_LIST_TIMEOUT
     }
 
-    /// Whether more clients are connected than the limit allows, because evicted ones are still closing.
-    pub fn is_over_client_limit(&self) -> bool {
-        self.clients.len() > self.max_clients
+    /// Decides on a client connection that waits to be accepted.
+    pub fn admit_client(&mut self) -> Admission {
+        self.clients.admit(self.now)
     }
 
-    /// Adds a new client connection and returns its number and its close request; `None` if there is no room.
-    pub fn client_connected(&mut self) -> Option<(u64, Rc<Notify>)> {
+    /// Adds a client connection that was accepted.
+    pub fn client_connected(&mut self) -> AddedClient {
         self.counts.accepted += 1;
-        let limit = self.max_clients + MAX_CLOSING_CLIENTS;
-        if self.clients.len() >= self.max_clients && (self.clients.len() >= limit || !self.evict_client()) {
-            return None;
-        }
-        let (number, close_request) = (self.next_client, Rc::<Notify>::default());
-        self.next_client += 1;
-        self.clients.insert(
-            number,
-            ClientConnection {
-                state: ConnectionState::Fresh,
-                since: self.now,
-                close_request: close_request.clone(),
-            },
-        );
-        Some((number, close_request))
-    }
-
-    /// A permit to refuse one more client with a response; `None` if too many refusals are in progress.
-    pub fn acquire_refusal_permit(&mut self) -> Option<Rc<()>> {
-        let permit = (Rc::strong_count(&self.refusal_permit) <= self.max_refusals)
-            .then(|| self.refusal_permit.clone());
-        self.counts.refused += u64::from(permit.is_some());
-        permit
-    }
-
-    /// Evicts one client connection; false if there is none to evict. The first choice are connections that were silent since
-    /// they were opened 0.2 s ago or earlier, and those that only linger; the second idle ones, the longest idle first; the
-    /// third those that were just opened. A connection with an open transaction or a partly received request is not evicted.
-    fn evict_client(&mut self) -> bool {
-        let first_request_grace = 0.2;
-        let priority = |client: &ClientConnection| match client.state {
-            ConnectionState::Fresh if self.now - client.since > first_request_grace => Some(0),
-            ConnectionState::Lingering => Some(0),
-            ConnectionState::Idle => Some(1),
-            ConnectionState::Fresh => Some(2),
-            _ => None,
-        };
-        let candidates = self
-            .clients
-            .iter()
-            .filter_map(|(number, client)| Some((priority(client)?, client.since, *number)));
-        let first = candidates.min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
-        let Some((_, _, number)) = first else { return false };
-        self.counts.evicted += 1;
-        self.clients
-            .get_mut(&number)
-            .into_iter()
-            .for_each(|client| client.set_state(ConnectionState::Evicted, self.now));
-        true
+        self.clients.add(self.now)
+    }
+
+    /// Adds a client connection whose request has arrived whole; `None` if there is no place that it could get.
+    pub fn client_connected_with_request(&mut self) -> Option<AddedClient> {
+        let added = self.clients.add_with_request(self.now);
+        self.counts.accepted += u64::from(added.is_some());
+        added
     }
 
     /// Enters the next stage of the shutdown, or repeats the current one; the stage never goes back.
     pub fn advance_shutdown(&mut self, next: ShutdownStage) {
         self.shutdown_stage = self.shutdown_stage.max(next);
         if next >= ShutdownStage::ClosingIdle {
-            self.close_idle(f64::NEG_INFINITY);
+            self.clients.close_idle(self.now, f64::NEG_INFINITY);
         }
         if next == ShutdownStage::Terminating {
             // No transaction is accepted any more, so connections that wait for the rest of a request are closed.
-            let waits_for_request = |client: &&mut ClientConnection| {
-                matches!(client.state, ConnectionState::Fresh | ConnectionState::Reading)
-            };
-            let now = self.now;
-            self.clients
-                .values_mut()
-                .filter(waits_for_request)
-                .for_each(|client| client.set_state(ConnectionState::Closing, now));
+            self.clients.close_unserved(self.now);
             // The transactions that are still open have no result to report.
             let open: Vec<u64> = self.open.keys().copied().collect();
             for id in open {
@@ -794,18 +736,6 @@
         }
     }
 
-    /// Closes client connections that are idle for longer than `max_idle` seconds.
-    fn close_idle(&mut self, max_idle: f64) {
-        let now = self.now;
-        let idle = |client: &&mut ClientConnection| {
-            client.state == ConnectionState::Idle && now - client.since > max_idle
-        };
-        self.clients
-            .values_mut()
-            .filter(idle)
-            .for_each(|client| client.set_state(ConnectionState::Closing, now));
-    }
-
     /// Closes connections to nodes and clients that are idle for too long.
     fn sweep(&mut self) {
         let node_idle_timeout = self.config.transport.node_idle_timeout;
@@ -816,14 +746,16 @@
             self.core.evict_volumes(now, (EVICTION_END * max_volumes as f64) as usize);
         }
         // Clients may open as many connections as the gateway allows and abandon some of them, which would keep new ones out.
-        let under_pressure = 2 * self.clients.len() > self.max_clients;
-        self.close_idle(if under_pressure { IDLE_TIMEOUT_UNDER_PRESSURE } else { IDLE_TIMEOUT });
+        let under_pressure = self.clients.is_under_pressure();
+        let max_idle = if under_pressure { IDLE_TIMEOUT_UNDER_PRESSURE } else { IDLE_TIMEOUT };
+        self.clients.close_idle(now, max_idle);
     }
 
     /// The counts with the current values. The longest timer delay and the poll summary begin anew.
     pub fn take_counts(&mut self) -> Counts {
         (self.counts.open_transactions, self.counts.client_connections) =
             (self.open.len(), self.clients.len());
+        self.counts.evicted = self.clients.evicted();
         self.counts.node_connections = self.upstream_connections.get();
         (self.counts.volumes, self.counts.keys) = self.core.tracked_counts();
         self.counts.descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! scheduling decisions.
 
 pub mod allocator;
+pub mod client_table;
 pub mod config;
 mod config_file;
 mod discovery;
@@ -31,6 +32,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::future::yield_now;
 use futures_lite::{FutureExt, StreamExt};
+use quaypath_http::RequestDecoder;
 use quaypath_initiator::event_loop::{accept_next, run_timers, run_turn, Notify};
 use quaypath_initiator::polls::{self, spawn, Peer, TaskKind};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -39,6 +41,7 @@
 pub use config::Config;
 pub use instance::Counts;
 
+use client_table::Admission;
 use instance::{Instance, SharedInstance, ShutdownStage, WeakInstance};
 
 /// Largest number of bytes that one read returns. All of them are decoded in one poll, however small the messages in them
@@ -65,6 +68,8 @@
 /// Number of times that the accept loop yields to the other tasks before it accepts the next client while the client limit
 /// is exceeded.
 const ACCEPT_YIELDS: usize = 4;
+/// Time after which a connection that waits for a place is decided on again.
+const ADMISSION_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval of the counts in the log.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -106,23 +111,37 @@
     Ok(counts)
 }
 
-/// Accepts client connections; beyond the limit it refuses them.
+/// Accepts client connections as far as there is room for them.
 async fn accept_clients(instance: WeakInstance, executor: WeakExecutor, listener: Async<TcpListener>) {
     loop {
+        let Some(this) = instance.upgrade() else { return };
+        if !this.borrow().clients.has_place() {
+            // No connection is evicted before another one waits for its place.
+            drop(this);
+            let _ = listener.readable().await;
+        }
+        let Some(this) = instance.upgrade() else { return };
+        let admission = run_turn(&this, Instance::admit_client);
+        drop(this);
+        if matches!(admission, Admission::Wait) {
+            Timer::after(ADMISSION_RETRY_INTERVAL).await;
+            continue;
+        }
         let (stream, peer) = accept_next(&listener).await;
         let peer = Peer::Address(peer);
         let (Some(this), Some(executor)) = (instance.upgrade(), executor.upgrade()) else { return };
-        if let Some((number, close_request)) = run_turn(&this, Instance::client_connected) {
-            let serve = front::serve(instance.clone(), number, close_request, stream);
+        if let Admission::Lobby(permit) = admission {
+            spawn(&executor, TaskKind::Lobby, peer, front::serve_in_lobby(instance.clone(), stream, permit));
+        } else {
+            let client = run_turn(&this, Instance::client_connected);
+            let serve = front::serve(instance.clone(), client, stream, RequestDecoder::default());
             spawn(&executor, TaskKind::Client, peer, serve);
-        } else if let Some(permit) = this.borrow_mut().acquire_refusal_permit() {
-            spawn(&executor, TaskKind::TurnAway, peer, front::refuse(stream, permit));
         }
         // Other tasks run between two accepts, however many clients wait in the backlog. While the client limit is exceeded,
         // the evicted connections close first, so that the backlog is not accepted all at once.
         for _ in 0..ACCEPT_YIELDS {
             yield_now().await;
-            if !this.borrow().is_over_client_limit() {
+            if !this.borrow().clients.is_over_limit() {
                 break;
             }
         }
--- a/crates/programs/tests/memory.rs
+++ b/crates/programs/tests/memory.rs
@@ -407,32 +407,12 @@
     address
 }
 
-/// Clients of which each sends its message, waits for an error or a close, and comes again, until `stop` is set.
-fn spawn_stuck_clients(
-    gateway: &Gateway, count: usize, message: impl Fn(usize) -> Vec<u8>, stop: &Arc<AtomicBool>,
-) -> Vec<thread::JoinHandle<()>> {
-    let run = |client| {
-        let (address, message, stop) = (gateway.address, message(client), stop.clone());
-        let run = move || {
-            while !stop.load(Ordering::SeqCst) {
-                let Ok(mut stream) = TcpStream::connect(address) else { continue };
-                stream.set_read_timeout(Some(FLOOD_TIME)).expect("a timeout");
-                if stream.write_all(&message).is_ok() {
-                    let _ = stream.read(&mut [0; 512]);
-                }
-                thread::sleep(Duration::from_millis(20));
-            }
-        };
-        thread::Builder::new().stack_size(128 << 10).spawn(run).expect("a thread")
-    };
-    (0..count).map(run).collect()
-}
-
 /// Guards against the kill for memory at new configurations of a large fleet (docs/incidents/reload-memory.md): the file was
 /// decoded whole, with its node list, and several calls each held a list, beside all that clients may hold.
 #[test]
 fn new_configurations_of_a_large_fleet_stay_within_the_memory() {
     const RELOADS: usize = 4;
+    const CROWD: usize = 400;
     let _one_at_a_time = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let nodes: Vec<Node> = (0..NODES).map(|_| Node::start(rig::answer_ok)).collect();
     let list = large_list(&nodes);
@@ -443,34 +423,28 @@
     });
     let mut config: Value =
         serde_json::from_slice(&std::fs::read(&gateway.config_path).expect("its file")).expect("JSON");
-    let stop = Arc::new(AtomicBool::new(false));
-    let half_body = |client| {
-        let mut request = long_request(client, 0, 64_000).into_bytes();
-        request.truncate(request.len() - 1000);
-        request
-    };
-    let unfinished_head = |client| {
-        let mut head = long_request(client, 0, 0).into_bytes();
-        head.truncate(head.len() - 2);
-        head
-    };
-    let mut clients = spawn_stuck_clients(&gateway, 100, half_body, &stop);
-    clients.extend(spawn_stuck_clients(&gateway, 300, unfinished_head, &stop));
-    for _ in 0..RELOADS {
-        let address = start_slow_discovery(&text);
-        config["discovery"] = json!(address.to_string());
-        std::fs::write(&gateway.config_path, serde_json::to_string_pretty(&config).expect("JSON"))
-            .expect("a file");
-        gateway.send_signal(rustix::process::Signal::HUP);
-        wait_until("the configuration is reloaded", || {
-            gateway.has_logged(&format!("configuration reloaded discovery={address}"))
-        });
-        // The next one comes while this one's lists are being received.
-        thread::sleep(Duration::from_millis(900));
-    }
-    thread::sleep(Duration::from_secs(2));
-    stop.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|client| client.join().expect("no panic"));
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for client in 0..CROWD {
+            let (address, stop) = (gateway.address, &stop);
+            let run = move || run_half_requests(address, HalfRequests::Stopped, client, stop);
+            thread::Builder::new().stack_size(128 << 10).spawn_scoped(scope, run).expect("a thread");
+        }
+        for _ in 0..RELOADS {
+            let address = start_slow_discovery(&text);
+            config["discovery"] = json!(address.to_string());
+            std::fs::write(&gateway.config_path, serde_json::to_string_pretty(&config).expect("JSON"))
+                .expect("a file");
+            gateway.send_signal(rustix::process::Signal::HUP);
+            wait_until("the configuration is reloaded", || {
+                gateway.has_logged(&format!("configuration reloaded discovery={address}"))
+            });
+            // The next one comes while this one's lists are being received.
+            thread::sleep(Duration::from_millis(900));
+        }
+        thread::sleep(Duration::from_secs(2));
+        stop.store(true, Ordering::SeqCst);
+    });
     let peak = peak_resident_bytes(gateway.child.id());
     gateway.print_long_polls();
     println!("{peak} bytes at most");
@@ -478,3 +452,139 @@
     // The list of the last address came through beside the clients.
     assert_eq!(gateway.send_request("lookup", "last").0, 200);
 }
+
+/// What the clients of a crowd do that never complete a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum HalfRequests {
+    /// They stop within a long body, or within a long head, and come again once they have their error.
+    Stopped,
+    /// They send a request of very many short fields without its last bytes.
+    ShortFields,
+    /// They send a long request byte by byte.
+    ByteByByte,
+}
+
+impl HalfRequests {
+    /// What one client sends, and its pause before each byte.
+    fn message(self, client: usize) -> (Vec<u8>, Option<Duration>) {
+        let short_fields: String = (0..55).map(|number| format!("X-{number}:\r\n")).collect();
+        let with_short_fields = flood_request(client, 0)
+            .replace("Content-Length: 4\r\n", &format!("Content-Length: 1500\r\n{short_fields}"));
+        let shortened = |text: String, left_out| text.as_bytes()[..text.len() - left_out].to_vec();
+        match self {
+            HalfRequests::Stopped if client.is_multiple_of(4) => {
+                (shortened(long_request(client, 0, 64_000), 1000), None)
+            }
+            HalfRequests::Stopped => (shortened(long_request(client, 0, 0), 2), None),
+            HalfRequests::ShortFields => (with_short_fields.into_bytes(), None),
+            HalfRequests::ByteByByte => {
+                (long_request(client, 0, 64_000).into_bytes(), Some(Duration::from_millis(40)))
+            }
+        }
+    }
+}
+
+/// A client of a crowd: sends its message, waits for an error or a close, and comes again, until `stop` is set.
+fn run_half_requests(address: SocketAddr, kind: HalfRequests, client: usize, stop: &AtomicBool) {
+    let (message, pause) = kind.message(client);
+    while !stop.load(Ordering::SeqCst) {
+        let Ok(mut stream) = TcpStream::connect(address) else { continue };
+        stream.set_read_timeout(Some(FLOOD_TIME)).expect("a timeout");
+        match pause {
+            None if stream.write_all(&message).is_ok() => drop(stream.read(&mut [0; 512])),
+            None => {}
+            Some(pause) => {
+                let mut bytes = message.iter();
+                while !stop.load(Ordering::SeqCst)
+                    && bytes.next().is_some_and(|byte| stream.write_all(&[*byte]).is_ok())
+                {
+                    thread::sleep(pause);
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// How the requests of usual clients ended.
+#[derive(Debug, Default)]
+struct UsualAnswers {
+    served: usize,
+    refused: usize,
+    unanswered: Vec<String>,
+}
+
+/// Usual clients, each with a node of its own: some keep their connection, the others open one for each request. A connection
+/// that was closed between two requests is opened again.
+fn run_usual_clients_beside_a_crowd(gateway: &Gateway, duration: Duration) -> UsualAnswers {
+    let answers = Mutex::new(UsualAnswers::default());
+    thread::scope(|scope| {
+        for client in 0..USUAL_CLIENTS {
+            let (answers, keeps_connection) = (&answers, client % 2 == 0);
+            scope.spawn(move || {
+                let (mut stream, began) = (gateway.connect(), Instant::now());
+                for number in 0.. {
+                    if began.elapsed() >= duration {
+                        break;
+                    }
+                    thread::sleep(Duration::from_millis(50));
+                    stream.set_nonblocking(true).expect("a socket");
+                    let is_open =
+                        stream.peek(&mut [0]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+                    stream.set_nonblocking(false).expect("a socket");
+                    if !keeps_connection || !is_open {
+                        stream = gateway.connect();
+                    }
+                    let request = put_request("lookup", &format!("usual{client}-{number}"), "1200m")
+                        .replace("shard=3", &format!("shard={client}"));
+                    let sent_at = Instant::now();
+                    let (status, head, body) = exchange(&mut stream, &request);
+                    let mut answers = answers.lock().expect("no panic");
+                    match status {
+                        200 => answers.served += 1,
+                        503 => answers.refused += 1,
+                        _ => answers.unanswered.push(format!(
+                            "{client}-{number}: {status} after {:?}, {head}{body}",
+                            sent_at.elapsed()
+                        )),
+                    }
+                }
+            });
+        }
+    });
+    answers.into_inner().expect("no panic")
+}
+
+/// Guards against usual clients that lose their connections and answers to a crowd of half requests, which held all places
+/// (docs/incidents/half-requests.md), and against the kill for memory by what such a crowd makes the gateway hold.
+#[test_case(HalfRequests::Stopped)]
+#[test_case(HalfRequests::ShortFields)]
+#[test_case(HalfRequests::ByteByByte)]
+fn usual_clients_are_served_beside_a_crowd_of_half_requests(kind: HalfRequests) {
+    const CROWD: usize = 700;
+    const MEMORY_MB: usize = 64;
+    let _one_at_a_time = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let small = SmallGateway::start(MEMORY_MB, rig::answer_ok);
+    let gateway = &small.gateway;
+    let stop = AtomicBool::new(false);
+    let answers = thread::scope(|scope| {
+        for client in 0..CROWD {
+            let (address, stop) = (gateway.address, &stop);
+            let builder = thread::Builder::new().stack_size(128 << 10);
+            builder
+                .spawn_scoped(scope, move || run_half_requests(address, kind, client, stop))
+                .expect("a thread");
+        }
+        let answers = run_usual_clients_beside_a_crowd(gateway, Duration::from_secs(8));
+        stop.store(true, Ordering::SeqCst);
+        answers
+    });
+    let peak = peak_resident_bytes(gateway.child.id());
+    gateway.print_long_polls();
+    let UsualAnswers { served, refused, unanswered } = answers;
+    println!("{kind:?}: {served} served, {refused} refused, {} unanswered; {peak} bytes", unanswered.len());
+    unanswered.iter().take(5).for_each(|line| println!("{line}"));
+    assert!(peak <= MEMORY_MB * 1_000_000, "{peak} bytes");
+    assert!(unanswered.is_empty(), "{} of usual clients without an answer", unanswered.len());
+    assert!(100 * refused <= served, "{refused} refused, {served} served");
+}
