Ever new volumes neither delay other clients nor have theirs refused

Cause: an eviction looked for each volume at each node in one poll ("kept the loop for long task=Timers took_ms=3155", debug); between two evictions, 0.25 s apart, new names took all places. Change: one look at each node for all volumes that go; a new volume without room starts an eviction, at most every 20 ms.

--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -48,6 +48,8 @@
 /// second.
 const EVICTION_START: f64 = 0.75;
 const EVICTION_END: f64 = 0.5;
+/// Least time between two evictions that new volumes cause, seconds: each looks at all volumes and nodes.
+const MIN_EVICTION_INTERVAL: f64 = 0.02;
 
 /// Descriptors that are not available for clients and nodes: three for the standard streams, three for the reactor, three
 /// for signals and the listener, four for calls to discovery at each of two addresses, and a spare for a connection that is
@@ -280,6 +282,8 @@
     /// The version of the node list.
     pub list_index: u64,
     pub discovery_sources: DiscoverySources,
+    /// When volumes were evicted last, seconds.
+    volumes_evicted_at: f64,
     /// Whether discovery has sent its whole list since the start.
     pub list_received: bool,
     pub shutdown_stage: ShutdownStage,
@@ -379,6 +383,7 @@
             memory,
             list_index: config.initial_list.index,
             discovery_sources: DiscoverySources::default(),
+            volumes_evicted_at: f64::NEG_INFINITY,
             list_received: false,
             shutdown_stage: ShutdownStage::Running,
             counts: Counts::default(),
@@ -493,7 +498,7 @@
         }
         let decoded = decode_transaction(&request, &self.config)?;
         let volume = VolumeId(Arc::from(decoded.volume));
-        if self.tracked_volumes() >= self.memory.limits().max_volumes && !self.core.tracks_volume(&volume) {
+        if !self.has_room_for_volume(&volume) {
             return Err((503, "no room for another volume"));
         }
         if decoded.block.is_some_and(|block| !self.has_room_for_block(BlockId(block))) {
@@ -534,6 +539,26 @@
         Ok((id, answer_slot))
     }
 
+    /// Whether the core tracks this volume, or may track another one. Volumes of which nothing is lost are evicted if need be.
+    fn has_room_for_volume(&mut self, volume: &VolumeId) -> bool {
+        let max_volumes = self.memory.limits().max_volumes;
+        if self.tracked_volumes() < max_volumes || self.core.tracks_volume(volume) {
+            return true;
+        }
+        if self.now < self.volumes_evicted_at + MIN_EVICTION_INTERVAL {
+            return false;
+        }
+        self.evict_volumes();
+        self.tracked_volumes() < max_volumes
+    }
+
+    /// Evicts volumes down to the share of the limit at which eviction ends.
+    fn evict_volumes(&mut self) {
+        let max_volumes = self.memory.limits().max_volumes;
+        self.volumes_evicted_at = self.now;
+        self.core.evict_volumes(self.now, (EVICTION_END * max_volumes as f64) as usize);
+    }
+
     /// Whether there is memory for what the core keeps for a block that transactions ask for.
     fn has_room_for_block(&self, block: BlockId) -> bool {
         self.core.tracks_block(block) || self.memory.has_room(NODE_BYTES + USED_NODE_BYTES)
@@ -743,7 +768,7 @@
         self.nodes.values_mut().for_each(|node| node.pool.sweep(now, node_idle_timeout));
         let max_volumes = self.memory.limits().max_volumes;
         if self.tracked_volumes() as f64 > EVICTION_START * max_volumes as f64 {
-            self.core.evict_volumes(now, (EVICTION_END * max_volumes as f64) as usize);
+            self.evict_volumes();
         }
         // Clients may open as many connections as the gateway allows and abandon some of them, which would keep new ones out.
         let under_pressure = self.clients.is_under_pressure();
--- a/crates/programs/tests/floods.rs
+++ b/crates/programs/tests/floods.rs
@@ -3,7 +3,7 @@
 
 mod rig;
 
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use rig::{
-    answer_ok, exchange, node_list, put_request, read_message, request_id, wait_until, write_response,
-    Discovery, Gateway, ManualDiscovery, ManualNode, Node,
+    answer_ok, exchange, large_list, node_list, put_request, read_message, request_id, wait_until,
+    write_response, Discovery, Gateway, ManualDiscovery, ManualNode, Node, LARGE_FLEET,
 };
 use rustix::process::Signal;
 use serde_json::json;
@@ -23,6 +23,9 @@
 /// 90 % of restarted processes are ready within this time.
 const MAX_START_TIME: Duration = Duration::from_secs(10);
 
+/// Longest time of a flood that goes on until enough was answered.
+const MAX_FLOOD_TIME: Duration = Duration::from_secs(60);
+
 /// A PUT request whose head (14 padding fields of 1000 bytes) and body (64 KiB) are both close to their maximum length.
 fn long_request(class: &str, id: &str, timeout: &str) -> String {
     let padding: String = (0..14).map(|number| format!("X-Pad-{number}: {}\r\n", "p".repeat(1000))).collect();
@@ -300,6 +303,90 @@
     }
 }
 
+/// Sends `request(number)` for ever new numbers at full speed on one connection until `stop` is set, and counts those that were
+/// answered.
+fn flood_with_new_names(
+    gateway: &Gateway, request: impl Fn(usize) -> String + Send + 'static, answered: &Arc<AtomicUsize>,
+    stop: &Arc<AtomicBool>,
+) -> thread::JoinHandle<()> {
+    const BATCH: usize = 32;
+    let (address, answered, stop) = (gateway.address, answered.clone(), stop.clone());
+    thread::spawn(move || {
+        let mut sent = 0;
+        while !stop.load(Ordering::SeqCst) {
+            let Ok(mut stream) = TcpStream::connect(address) else { continue };
+            stream.set_read_timeout(Some(MAX_UPDATE_DELAY)).expect("a timeout");
+            let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+            let mut is_open = true;
+            while is_open && !stop.load(Ordering::SeqCst) {
+                let batch: String = (sent..sent + BATCH).map(&request).collect();
+                sent += BATCH;
+                is_open = stream.write_all(batch.as_bytes()).is_ok();
+                for _ in 0..BATCH {
+                    let mut head = Vec::new();
+                    while is_open && !head.ends_with(b"\r\n\r\n") {
+                        is_open = reader.read_until(b'\n', &mut head).is_ok_and(|count| count > 0);
+                    }
+                    let head = String::from_utf8_lossy(&head).into_owned();
+                    let length =
+                        head.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
+                    let mut body = vec![0; length.unwrap_or(0)];
+                    is_open &= reader.read_exact(&mut body).is_ok() && !head.contains("Connection: close");
+                    answered.fetch_add(usize::from(!head.is_empty()), Ordering::SeqCst);
+                }
+            }
+        }
+    })
+}
+
+/// Guards against a client that names ever new volumes and blocks and so delays all others, in a fleet of the largest size: each
+/// eviction of volumes used to look for each of them at each node, in one poll. With little memory, others were refused because
+/// new names took all places until the next eviction (docs/incidents/new-names.md).
+#[test_case(192, 12_000; "much memory")]
+#[test_case(20, 6_000; "little memory")]
+fn flood_of_new_names_does_not_delay_or_refuse_other_clients(memory_mb: usize, names: usize) {
+    /// Volumes of the usual client, each of which it uses now and then.
+    const USUAL_VOLUMES: usize = 100;
+    let node = Node::start(answer_ok);
+    let list = large_list(&[node.address]);
+    let discovery = Discovery::start(list.clone());
+    let gateway = Gateway::start(&list, discovery.address, |config| {
+        config["limits"]["memory_mb"] = json!(memory_mb);
+        config["settings"]["FamilyInfo"]["NShards"] = json!(LARGE_FLEET);
+    });
+    let stop = Arc::new(AtomicBool::new(false));
+    // With so little time it is answered without an attempt.
+    let new_names = |number: usize| {
+        put_request("lookup", &format!("flood{number}"), "1u")
+            .replace("volume=00000003b4d60021", &format!("volume={:016x}", number + 1))
+            .replace("shard=3", &format!("shard={}", number % LARGE_FLEET))
+    };
+    let answered = Arc::new(AtomicUsize::new(0));
+    let flood_thread = flood_with_new_names(&gateway, new_names, &answered, &stop);
+    let mut normal_client = gateway.connect();
+    let (began, mut slowest, mut number) = (Instant::now(), Duration::ZERO, 0);
+    // The first eviction is due at three quarters of the volumes that the memory allows, 7,500 of 10,000 and some 300 of 400.
+    while answered.load(Ordering::SeqCst) < names && began.elapsed() < MAX_FLOOD_TIME {
+        let volume = format!("volume={:016x}", 0xabc_0000 + number % USUAL_VOLUMES);
+        let request = put_request("lookup", &format!("id{number}"), "1000m")
+            .replace("volume=00000003b4d60021", &volume)
+            .replace("shard=3", "shard=0");
+        let sent_at = Instant::now();
+        let (status, head, _) = exchange(&mut normal_client, &request);
+        assert_eq!(status, 200, "{head} after {:?}", sent_at.elapsed());
+        slowest = slowest.max(sent_at.elapsed());
+        number += 1;
+        thread::sleep(Duration::from_millis(5));
+    }
+    stop.store(true, Ordering::SeqCst);
+    flood_thread.join().expect("no panic");
+    let answered = answered.load(Ordering::SeqCst);
+    gateway.print_long_polls();
+    println!("{number} normal requests, the slowest {slowest:?}, beside {answered} with new names");
+    assert!(answered >= names, "volumes were not evicted: {answered}");
+    assert!(slowest < Duration::from_secs(1), "{slowest:?}: longer than the timeout of the request");
+}
+
 /// Sends requests one after another for the duration; each has to be served. Returns the longest latency.
 fn measure_slowest_request(client: &mut TcpStream, duration: Duration) -> Duration {
     let (began, mut slowest, mut number) = (Instant::now(), Duration::ZERO, 0);
--- a/crates/programs/tests/memory.rs
+++ b/crates/programs/tests/memory.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use rig::{
-    exchange, node_list, put_request, read_message, request_id, wait_until, write_response, Discovery,
-    Gateway, Node,
+    exchange, large_list, node_list, put_request, read_message, request_id, wait_until, write_response,
+    Discovery, Gateway, Node, LARGE_FLEET,
 };
 use serde_json::{json, Value};
 use test_case::test_case;
@@ -361,22 +361,6 @@
     assert!(10 * served >= 9 * sent, "{served} of {sent}");
 }
 
-/// Number of nodes of the largest fleet that the platform names.
-const LARGE_FLEET: usize = 3200;
-
-/// An indented list in which the first nodes are these; nothing listens at the addresses of the others.
-fn large_list(nodes: &[Node]) -> Value {
-    let names: Vec<String> = (0..LARGE_FLEET).map(|block| format!("s-{:08x}", 0x5be2_0000 + block)).collect();
-    let port = nodes[0].address.port();
-    let nowhere = |block: usize| SocketAddr::from(([127, 1, (block >> 8) as u8, block as u8], port));
-    let address = |block: usize| nodes.get(block).map_or_else(|| nowhere(block), |node| node.address);
-    let entries: Vec<_> =
-        (0..LARGE_FLEET).map(|block| (names[block].as_str(), address(block), "in_service")).collect();
-    let mut list = node_list(41, &entries);
-    (0..LARGE_FLEET).for_each(|block| list["endpoints"][block]["group"] = json!(block));
-    list
-}
-
 /// Starts a discovery that takes a second to send this text as its list. Its watches send empty lines only.
 fn start_slow_discovery(list: &str) -> SocketAddr {
     const PIECES: usize = 20;
@@ -415,7 +399,7 @@
     const CROWD: usize = 400;
     let _one_at_a_time = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let nodes: Vec<Node> = (0..NODES).map(|_| Node::start(rig::answer_ok)).collect();
-    let list = large_list(&nodes);
+    let list = large_list(&nodes.iter().map(|node| node.address).collect::<Vec<_>>());
     let text = serde_json::to_string_pretty(&list).expect("JSON");
     let gateway = Gateway::start(&list, start_slow_discovery(&text), |config| {
         config["limits"] = json!({"memory_mb": MEMORY_MB, "sockets": DESCRIPTORS});
--- a/crates/programs/tests/rig/discovery.rs
+++ b/crates/programs/tests/rig/discovery.rs
@@ -21,6 +21,23 @@
     json!({"index": index, "snapshot": true, "endpoints": nodes.iter().map(endpoint).collect::<Vec<_>>()})
 }
 
+/// Number of nodes of the largest fleet that the platform names.
+pub const LARGE_FLEET: usize = 3200;
+
+/// A list of the largest fleet in which the first nodes, by block, are at these addresses; nothing listens at the addresses of the
+/// others.
+pub fn large_list(nodes: &[SocketAddr]) -> Value {
+    let names: Vec<String> = (0..LARGE_FLEET).map(|block| format!("s-{:08x}", 0x5be2_0000 + block)).collect();
+    let nowhere =
+        |block: usize| SocketAddr::from(([127, 1, (block >> 8) as u8, block as u8], nodes[0].port()));
+    let address = |block: usize| nodes.get(block).copied().unwrap_or_else(|| nowhere(block));
+    let entries: Vec<_> =
+        (0..LARGE_FLEET).map(|block| (names[block].as_str(), address(block), "in_service")).collect();
+    let mut list = node_list(41, &entries);
+    (0..LARGE_FLEET).for_each(|block| list["endpoints"][block]["group"] = json!(block));
+    list
+}
+
 /// Places the node at this position of a list in a zone.
 pub fn set_zone(list: &mut Value, position: usize, zone: &str) {
     list["endpoints"][position]["zone"] = json!(zone);
--- a/crates/programs/tests/rig/mod.rs
+++ b/crates/programs/tests/rig/mod.rs
@@ -12,7 +12,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-pub use discovery::{node_list, set_zone, Discovery, DiscoveryCall, ManualDiscovery};
+pub use discovery::{
+    large_list, node_list, set_zone, Discovery, DiscoveryCall, ManualDiscovery, LARGE_FLEET,
+};
 pub use gateway::{Gateway, SAMPLE_CONFIG};
 pub use node::{answer_ok, answer_slowly, never_answer, request_id, ManualNode, Node, Script};
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -451,11 +451,11 @@
             .map(|(name, volume)| (volume.reserve_filled_at, name.clone()))
             .collect();
         candidates.sort_by(|left, right| left.0.total_cmp(&right.0));
-        for (_, name) in candidates.into_iter().take(excess) {
-            self.volumes.remove(&name);
-            for node in self.nodes.values_mut() {
-                node.usage_reported_at.remove(&name);
-            }
+        candidates.truncate(excess);
+        candidates.iter().for_each(|(_, name)| drop(self.volumes.remove(name)));
+        let volumes = &self.volumes;
+        for node in self.nodes.values_mut() {
+            node.usage_reported_at.retain(|name, _| volumes.contains_key(name));
         }
         self.evict_quiet_keys(now);
     }
