No request id is forgotten before its time, and ids are in the sum of the memory

Cause: ended ids were bounded by number (16,384), and the oldest went however young; requests of which nothing was ever sent filled it. Change: ids stay for the longest deadline and a second; those whose transaction cannot have run are not kept; the rest has a kind in the account, and a new request without room is refused with 503. Whether an outcome may have run stands once, in types.rs.

--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -36,7 +36,7 @@
 };
 use crate::node_table::NodeTable;
 use crate::outcome::{outcome, ShotEnd};
-use crate::replay_window::{HashedId, ReplayWindow};
+use crate::replay_window::{HashedId, OpenError, ReplayWindow};
 use crate::upstream;
 
 /// A timer that fires later than this counts as a stall, seconds.
@@ -55,6 +55,8 @@
 /// for signals and the listener, four for calls to discovery at each of two addresses, and a spare for a connection that is
 /// being accepted.
 const RESERVED_DESCRIPTORS: usize = 20;
+/// How much longer than the longest deadline an id is known after the end of its transaction, seconds.
+const ID_RETENTION_MARGIN: f64 = 1.0;
 /// Share of the available descriptors for client connections.
 const CLIENT_SHARE: f64 = 0.45;
 /// Share of the available descriptors for connections to nodes.
@@ -234,6 +236,8 @@
     shots: u32,
     /// The shot in flight.
     shot: Option<Rc<Shot>>,
+    /// Whether a shot may have run.
+    may_have_run: bool,
     _memory: MemoryPermit,
 }
 
@@ -359,6 +363,7 @@
             control_memory(&config),
         );
         let memory = MemoryAccount::new(memory_limits);
+        let id_retention = config.transport.longest_deadline() + ID_RETENTION_MARGIN;
         let instance = Rc::new(RefCell::new(Instance {
             core,
             actions,
@@ -369,7 +374,7 @@
             timer_changed: Rc::default(),
             open: BTreeMap::new(),
             next_id: 1,
-            replay_window: ReplayWindow::default(),
+            replay_window: ReplayWindow::new(id_retention, &memory),
             clients: ClientTable::new(
                 memory_limits.max_clients,
                 descriptors(LOBBY_SHARE).max(MIN_LOBBY_CLIENTS),
@@ -435,6 +440,7 @@
             CoreEvent::ShotCompleted(id, number, outcome, report) => {
                 let Some(transaction) = self.open.get_mut(&id) else { return };
                 let Some(shot) = transaction.shot.take_if(|shot| shot.number == number) else { return };
+                transaction.may_have_run |= outcome.may_have_run();
                 *self.counts.outcomes.entry(outcome_name(outcome)).or_default() += 1;
                 let ended = transaction.client.is_none();
                 let last = ended || outcome == Outcome::Settled;
@@ -509,8 +515,10 @@
         let head_memory = head_memory.ok_or((503, "no room for a head"))?;
         let transaction_memory = self.memory.try_hold(MemoryKind::Transaction, TRANSACTION_BYTES);
         let transaction_memory = transaction_memory.ok_or((503, "no room for a transaction"))?;
-        let request_id =
-            self.replay_window.open(&decoded.id).ok_or((409, "X-Request-ID is another request's"))?;
+        let request_id = self.replay_window.open(self.now, &decoded.id).map_err(|error| match error {
+            OpenError::Known => (409, "X-Request-ID is another request's"),
+            OpenError::NoMemory => (503, "no room for another request id"),
+        })?;
         let id = self.next_id;
         self.next_id += 1;
         let answer_slot = Rc::new(AnswerSlot::default());
@@ -531,6 +539,7 @@
                 request: Some(Rc::new(request)),
                 shots: 0,
                 shot: None,
+                may_have_run: false,
                 _memory: transaction_memory,
             },
         );
@@ -589,9 +598,8 @@
 
     /// Removes a transaction that has ended and has no shot in flight.
     fn remove_transaction(&mut self, id: u64) {
-        let retention = self.config.transport.longest_deadline() + 1.0;
         if let Some(transaction) = self.open.remove(&id) {
-            self.replay_window.end(self.now, transaction.request_id, retention);
+            self.replay_window.end(self.now, transaction.request_id, transaction.may_have_run);
         }
     }
 
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -40,6 +40,8 @@
     ResponseBuffer,
     /// Bodies of responses, until they are written to the client.
     ResponseBody,
+    /// Ids of requests that are known for a while.
+    RequestId,
     /// What is kept for each node that discovery lists or that transactions name.
     Node,
     /// Node lists that are being received and applied.
@@ -49,7 +51,7 @@
 }
 
 impl MemoryKind {
-    pub const ALL: [MemoryKind; 10] = [
+    pub const ALL: [MemoryKind; 11] = [
         MemoryKind::Connection,
         MemoryKind::Transaction,
         MemoryKind::ReceiveBuffer,
@@ -57,6 +59,7 @@
         MemoryKind::RequestBody,
         MemoryKind::ResponseBuffer,
         MemoryKind::ResponseBody,
+        MemoryKind::RequestId,
         MemoryKind::Node,
         MemoryKind::Discovery,
         MemoryKind::Configuration,
@@ -72,6 +75,7 @@
             MemoryKind::RequestBody => "request_bodies",
             MemoryKind::ResponseBuffer => "response_buffers",
             MemoryKind::ResponseBody => "response_bodies",
+            MemoryKind::RequestId => "request_ids",
             MemoryKind::Node => "nodes",
             MemoryKind::Discovery => "discovery",
             MemoryKind::Configuration => "configuration",
--- a/crates/platform/src/memory/account.rs
+++ b/crates/platform/src/memory/account.rs
@@ -132,7 +132,8 @@
             MemoryKind::Node | MemoryKind::Discovery => return unused.saturating_sub(for_configuration),
             _ => {}
         }
-        let small = bytes <= allocated_bytes(SMALL_BYTES) || kind == MemoryKind::Transaction;
+        let small = bytes <= allocated_bytes(SMALL_BYTES)
+            || matches!(kind, MemoryKind::Transaction | MemoryKind::RequestId);
         let reserved = if kind.is_response() { 0 } else { limits.response_reserve }
             + if small { 0 } else { limits.small_reserve }
             + for_configuration
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -308,7 +308,7 @@
     ) {
         let Some(transaction) = self.transactions.get_mut(&id) else { return };
         transaction.shot_in_flight = false;
-        if !matches!(outcome, Outcome::QueueFull | Outcome::Unreachable | Outcome::Abandoned) {
+        if outcome.may_have_run() {
             let (sent_at, zone) = (transaction.sent_at, transaction.sent_to_zone.take());
             transaction.possible_run.get_or_insert(PossibleRun { sent_at, zone });
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -113,6 +113,13 @@
     Abandoned,
 }
 
+impl Outcome {
+    /// Whether the shot may have run at its node.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::QueueFull | Outcome::Unreachable | Outcome::Abandoned)
+    }
+}
+
 /// The state of a node by the register.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NodeCondition {
