Nothing is sent for a client whose end lies behind bytes that were not read

Cause: the connection was read on for the client's end after the request had gone to the core, and that read lets other tasks run, the attempt among them, where the poll has used up 1 ms. What the sender's kernel holds comes only as the window opens. Change: what lies behind a request is read before it is served, to the end or until nothing is there, with no other task in between; after a read as long as it could be, bytes have 5 ms to follow; 16 MiB at most.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -37,6 +37,10 @@
 const MAX_LINGER_BYTES: usize = 1 << 20;
 /// Longest time for refusing a client beyond the connection limit, seconds: descriptors are scarce then.
 const REFUSAL_TIMEOUT: f64 = 0.2;
+/// Largest number of bytes that are read behind a request before it is served: more than the kernel holds of a connection.
+const MAX_BYTES_BEHIND_REQUEST: usize = 16 << 20;
+/// Time in which bytes follow that the peer's kernel holds because there was no room for them here, seconds.
+const FOLLOWING_BYTES_TIMEOUT: f64 = 0.005;
 /// Time that a client in the lobby has for the first bytes of its request, seconds.
 const LOBBY_TIMEOUT: f64 = 0.02;
 /// Interval of the checks whether an evicted connection has left its place.
@@ -131,6 +135,7 @@
         last_received: if decoder.has_partial_request() { now } else { 0.0 },
         decoder,
         overrun: false,
+        last_read_was_full: false,
     };
     let _ = task.run().await;
     if let Some(this) = task.instance.upgrade() {
@@ -154,8 +159,11 @@
     body_memory: MemoryPermit,
     /// Bytes of a further request were discarded, so that the connection is to be closed after the current answer.
     overrun: bool,
-    /// When bytes were received last, seconds; 0 before the first.
+    /// When bytes of the current request were received last, seconds; 0 before the first. A request that was sent ahead counts
+    /// from the one before it, so that no node is told more time than is left.
     last_received: f64,
+    /// The last read returned as many bytes as it could, so that more may have arrived.
+    last_read_was_full: bool,
 }
 
 /// What ended a wait for more bytes of a request.
@@ -318,21 +326,64 @@
 
     /// Reads without waiting before a connection is closed between two requests; false if bytes have arrived.
     fn nothing_arrived(&mut self) -> io::Result<bool> {
+        let arrived = matches!(self.try_receive()?, Some(Received::Bytes(())));
+        if arrived {
+            self.last_received = self.clock_now()?;
+        }
+        Ok(!arrived)
+    }
+
+    /// Reads without waiting.
+    fn try_receive(&mut self) -> io::Result<Option<Received<()>>> {
         let decoder = &mut self.decoder;
-        let received = try_read(self.stream.get_ref(), MAX_READ_BYTES, |bytes| decoder.feed(bytes))?;
-        if matches!(received, Some(Received::Bytes(()))) {
-            self.last_received = self.instance()?.borrow().clock_now();
-            return Ok(false);
+        let mut count = 0;
+        let feed = |bytes: &[u8]| {
+            count = bytes.len();
+            decoder.feed(bytes);
+        };
+        let received = try_read(self.stream.get_ref(), MAX_READ_BYTES, feed)?;
+        self.last_read_was_full = count == MAX_READ_BYTES;
+        Ok(received)
+    }
+
+    /// Reads what has arrived behind the current request, so that the client's end is seen if it lies there. Returns false if
+    /// the client has disconnected: nothing must be sent for it. Other tasks do not run between the last read and the return.
+    async fn is_connected_behind_request(&mut self) -> io::Result<bool> {
+        let mut remaining = MAX_BYTES_BEHIND_REQUEST;
+        let mut more_may_follow = self.last_read_was_full;
+        while remaining > 0 {
+            match self.try_receive()? {
+                Some(Received::End) => return Ok(false),
+                Some(Received::Bytes(())) => {
+                    more_may_follow |= self.last_read_was_full;
+                    self.keep_received();
+                    yield_if_spent().await;
+                }
+                None if more_may_follow => more_may_follow = self.is_readable_soon().await,
+                None => break,
+            }
+            remaining -= MAX_READ_BYTES;
         }
         Ok(true)
     }
 
+    /// Whether more arrives within the time in which a peer's kernel sends what it holds once there is room for it here.
+    async fn is_readable_soon(&self) -> bool {
+        let readable = async { self.stream.readable().await };
+        with_timeout(FOLLOWING_BYTES_TIMEOUT, readable).await.is_ok()
+    }
+
     /// Waits for more bytes, a close request or the deadline.
     async fn wait_for_bytes(&mut self, deadline: Option<f64>) -> io::Result<WaitEnd> {
         let now = self.instance()?.borrow().clock_now();
         let decoder = &mut self.decoder;
+        let last_read_was_full = &mut self.last_read_was_full;
         let read = async {
-            match read_some(&self.stream, MAX_READ_BYTES, |bytes| decoder.feed(bytes)).await? {
+            let feed = |bytes: &[u8]| {
+                *last_read_was_full = bytes.len() == MAX_READ_BYTES;
+                decoder.feed(bytes);
+            };
+            match read_some(&self.stream, MAX_READ_BYTES, feed).await? {
                 Received::Bytes(()) => Ok(WaitEnd::Bytes),
                 Received::End => Ok(WaitEnd::PeerClosed),
             }
@@ -357,8 +408,11 @@
 
     /// Serves one transaction from its request to its final answer; false if the connection was closed.
     async fn serve_transaction(&mut self, request: Request, memory: MemoryPermit) -> io::Result<bool> {
-        let this = self.instance()?;
         self.enter(ConnectionState::Busy)?;
+        if !self.is_connected_behind_request().await? {
+            return Ok(false);
+        }
+        let this = self.instance()?;
         let wants_close = request.close;
         let accepted = run_turn(&this, |this| this.accept_transaction(request, memory, self.last_received));
         let (id, answer_slot) = match accepted {
@@ -375,13 +429,15 @@
             // Bytes that arrive meanwhile belong to the next request. They are not left in the kernel, where they would hide
             // that the client has disconnected.
             loop {
-                let feed = |bytes: &[u8]| {
-                    self.decoder.feed(bytes);
-                    self.keep_received();
-                };
-                match read_some(&stream, MAX_READ_BYTES, feed).await {
-                    Ok(Received::Bytes(())) => {}
-                    Ok(Received::End) | Err(_) => return None,
+                // What had arrived before was read.
+                if stream.readable().await.is_err() {
+                    return None;
+                }
+                yield_if_spent().await;
+                match self.try_receive() {
+                    Ok(Some(Received::Bytes(()))) => self.keep_received(),
+                    Ok(None) => {}
+                    Ok(Some(Received::End)) | Err(_) => return None,
                 }
             }
         };
--- a/crates/programs/tests/crossings.rs
+++ b/crates/programs/tests/crossings.rs
@@ -14,6 +14,7 @@
     request_id, reset_on_close, wait_until, write_response, Discovery, Gateway, ManualDiscovery, ManualNode,
     Node,
 };
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use rustix::process::{prlimit, Pid, Resource, Rlimit, Signal};
 use serde_json::json;
 use test_case::test_case;
@@ -140,6 +141,46 @@
     assert_eq!(request_id(&first_request(&node)), "next");
 }
 
+/// Guards against requests that are sent on for a client that left long ago: it sent this many and closed its connection while
+/// the gateway stood still, so its end lies behind bytes that were not read (docs/incidents/unread-end.md).
+#[test_case(1, false; "one request, closed")]
+#[test_case(40, false; "as many as one read takes, closed")]
+#[test_case(200, false; "more than one read takes, closed")]
+#[test_case(1400, false; "more than the receive buffer takes, closed")]
+#[test_case(40, true; "as many as one read takes, reset")]
+#[test_case(200, true; "more than one read takes, reset")]
+fn no_request_is_sent_for_a_client_whose_end_is_behind_unread_bytes(count: usize, by_reset: bool) {
+    const ROUNDS: usize = 10;
+    const CLIENTS: usize = 6;
+    let node = Node::start(answer_ok);
+    let (gateway, _discovery) = Gateway::start_with_node(&node);
+    // So that there is an idle connection to the node.
+    barrier(&gateway, "before");
+    for round in 0..ROUNDS {
+        let clients: Vec<TcpStream> = (0..CLIENTS).map(|_| gateway.connect()).collect();
+        for client in &clients {
+            set_socket_send_buffer_size(client, 1 << 20).expect("a socket");
+            if by_reset {
+                reset_on_close(client);
+            }
+        }
+        gateway.while_stopped(|| {
+            for (index, mut client) in clients.into_iter().enumerate() {
+                let requests: String = (0..count)
+                    .map(|number| put_request("lookup", &format!("gone{round}-{index}-{number}"), "1200m"))
+                    .collect();
+                client.write_all(requests.as_bytes()).expect("the kernel takes all of it");
+            }
+            // Longer than an attempt for a client that has left may begin after its close.
+            thread::sleep(Duration::from_millis(150));
+        });
+        barrier(&gateway, &format!("after{round}"));
+    }
+    let heads = node.request_heads.lock().expect("no panic");
+    let sent = heads.iter().filter(|head| request_id(head).starts_with("gone")).count();
+    assert_eq!(sent, 0, "attempts for {CLIENTS} clients that had left, in {ROUNDS} rounds");
+}
+
 /// Guards against pipelined requests that get no response when they exceed what the gateway buffers.
 #[test]
 fn too_many_pipelined_requests_end_the_connection_with_an_answer() {
