Half an attempt is reset, so that its node hears of the end at once

Cause: an attempt that was partly sent was closed in order, and that end stands behind what the gateway's kernel holds, at the pace of the node. Change: a connection on which a request was partly sent is reset. No node has begun such a request.

--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -8,6 +8,7 @@
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_io::Async;
 use futures_lite::future::pending;
@@ -53,6 +54,11 @@
         UpstreamConnection { stream, incarnation, count, idle_time: None }
     }
 
+    /// Makes its close drop what the kernel has not sent yet. An orderly close would come behind that, at the pace of the node.
+    fn reset_on_close(&self) {
+        let _ = socket2::SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO));
+    }
+
     /// Whether it is open and has no bytes to read.
     fn is_clean(&self) -> bool {
         let mut byte = [0];
@@ -305,6 +311,10 @@
     let lost = end == ShotEnd::ConnectionLost && incoming.head.is_none();
     // The connection is closed, or returned to the pool, before the core may send again.
     let answered = matches!(end, ShotEnd::Answered(..)) && shot.progress() == Progress::Sent;
+    if shot.progress() == Progress::PartlySent {
+        // No node has begun it, and none is to go on reading it.
+        used.iter().for_each(UpstreamConnection::reset_on_close);
+    }
     let upstream = used.take().filter(|_| answered && incoming.is_reusable());
     let (report, answer) = match incoming.head.take().filter(|_| incoming.complete) {
         Some(head) => {
--- a/crates/programs/tests/floods.rs
+++ b/crates/programs/tests/floods.rs
@@ -14,6 +14,7 @@
     answer_ok, answer_slowly, exchange, large_list, node_list, put_request, read_message, request_id,
     wait_until, write_response, Discovery, Gateway, ManualDiscovery, ManualNode, Node, LARGE_FLEET,
 };
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::process::Signal;
 use serde_json::json;
 use test_case::test_case;
@@ -84,6 +85,34 @@
     assert!(received.len() < 64 << 10, "the whole request was sent: {}", received.len());
 }
 
+/// Whether the peer has ended this connection, even if earlier bytes are still unread.
+fn is_ended(stream: &TcpStream) -> bool {
+    let mut poll_set = [PollFd::new(stream, PollFlags::RDHUP)];
+    poll(&mut poll_set, Some(&Timespec::default())).expect("a socket") > 0
+        && poll_set[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+}
+
+/// Guards against half an attempt whose end a node hears only once it has read all that the gateway's kernel held, at the pace of
+/// a narrow or busy node, up to seconds after the client had left (docs/incidents/half-attempt.md).
+#[test_case("2500m", true; "its client left")]
+#[test_case("400m", false; "its time is up")]
+fn a_node_that_does_not_read_hears_the_end_of_half_an_attempt(timeout: &str, client_leaves: bool) {
+    let (_node, _discovery, _gateway, client, node_connection, _watch) =
+        start_partial_attempt("buy", timeout, true);
+    let kept_client = if client_leaves {
+        drop(client);
+        None
+    } else {
+        Some(client)
+    };
+    let began = Instant::now();
+    wait_until("the attempt ends", || is_ended(&node_connection));
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+    if let Some(mut client) = kept_client {
+        assert_eq!(exchange(&mut client, "").0, 503, "it cannot have run");
+    }
+}
+
 /// Guards against a wrong failure status: a request that was not sent completely has not run, so the answer must be a
 /// refusal (503), after which the client may safely retry.
 #[test]
