A host that stops on two queues no longer ends the gateway's timers

Change: what is to be closed is reset while it is looked at, then closed by number, which does nothing for one that has gone; siblings of a late queue are reset with it. An abort looks its connection up.

--- a/crates/initiator/src/instance.rs
+++ b/crates/initiator/src/instance.rs
@@ -534,14 +534,13 @@
     fn sweep(&mut self) {
         let (now, settings) = (self.now, self.deployment.connections.clone());
         let is_stalled = |stall: &StallDetector| stall.stalled_longer_than(now, settings.half_pdu);
+        let stalled = self.clients.iter().filter(|(_, client)| is_stalled(&client.stall));
+        // Output that a client does not read would stay in the kernel for as long as the client exists.
         let stalled_clients: Vec<u64> =
-            self.clients.iter().filter(|(_, client)| is_stalled(&client.stall)).map(|(id, _)| *id).collect();
+            stalled.inspect(|(_, client)| reset_on_close(&client.stream)).map(|(id, _)| *id).collect();
+        // The close of one queue ends its association, and with it the others.
         for connection in stalled_clients {
             warn!(connection, "closed: the client left a PDU unfinished or does not read");
-            // Without a zero linger time, output that the client does not read would stay in the kernel for as long as
-            // the client exists.
-            let stream = self.clients[&connection].stream.clone();
-            let _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(std::time::Duration::ZERO));
             self.close_client(connection);
         }
         for connection in self.associations.lost(now) {
@@ -746,14 +745,13 @@
             .node_connections
             .iter()
             .filter(|(_, connection)| connection.node == *name && has_unsent_bytes(connection))
+            .inspect(|(_, connection)| reset_on_close(&connection.stream))
             .map(|(id, _)| *id)
             .collect();
+        // The close of one queue ends its association, and with it the others.
         for connection in late {
             warn!(node = %name.0, "reset: commands for a draining node were not sent by the end of the drain grace");
             self.counts.drain_resets += 1;
-            let stream = self.node_connections[&connection].stream.clone();
-            // With a zero linger time, the kernel discards the bytes that it holds.
-            let _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(std::time::Duration::ZERO));
             self.close_node_connection(connection);
         }
     }
@@ -1159,7 +1157,11 @@
         if !ios.contains(&connection) {
             return;
         }
-        let (admin, queue_number) = (*admin, self.node_connections[&connection].queue_number);
+        let Some(queue_number) = self.node_connections.get(&connection).map(|queue| queue.queue_number)
+        else {
+            return;
+        };
+        let admin = *admin;
         let Some(node_connection) = self.node_connections.get_mut(&admin) else { return };
         if let Some((_, bytes)) = node_connection.machine.submit(Sqe::abort(queue_number, cid), Vec::new(), 0)
         {
@@ -1478,3 +1480,8 @@
         requeued.into_iter().rev().for_each(|command| node_connection.unsent.push_front(command));
     }
 }
+
+/// Makes the close of a connection reset it, so that the kernel drops what it holds.
+fn reset_on_close(stream: &Async<TcpStream>) {
+    let _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(std::time::Duration::ZERO));
+}
--- a/crates/programs/tests/hard_cases.rs
+++ b/crates/programs/tests/hard_cases.rs
@@ -8,8 +8,9 @@
 
 use helper::*;
 use quaypath::types::NodeCondition::{Draining, Ready};
-use quaypath_nvme::command::{Cqe, Sqe};
+use quaypath_nvme::command::{Cqe, Sqe, ANY_CONTROLLER};
 use quaypath_nvme::controller::Event as Asked;
+use quaypath_nvme::host::Offer;
 use quaypath_nvme::pdu::{Decoder, Pdu};
 use quaypath_nvme::status;
 use rustix::process::Signal;
@@ -352,6 +353,34 @@
     wait_until_served(&mut client);
 }
 
+/// Guards against a gateway without timers, which never gives an answer that waits for a time: a client that stopped within a
+/// command on two queues of one association ended their task with a panic (docs/incidents/ended-timers.md).
+#[test]
+fn a_client_that_stops_within_commands_on_two_queues_is_closed() {
+    let target =
+        start_peer(|_, marks| if marks.mark == 0x100 { PeerAction::Hold } else { PeerAction::Answer(0) });
+    let (gateway, mut client) =
+        start_with_node(&TestSettings { half_pdu: 0.5, ..TestSettings::default() }, target.address);
+    wait_until_served(&mut client);
+    let name = "nqn.test:client:stops";
+    let (_admin, controller) = Queue::open(gateway.address, 0, ANY_CONTROLLER, Offer::default(), name);
+    let mut queues: Vec<Queue> = (1..=2)
+        .map(|number| Queue::open(gateway.address, number, controller, Offer::default(), name).0)
+        .collect();
+    for queue in &mut queues {
+        let (_, command) = queue.host.submit(Client::sqe(READ, 1, 0x200, 8), Vec::new(), 4096).unwrap();
+        queue.stream.write_all(&command[..40]).unwrap();
+    }
+    for queue in &mut queues {
+        let end = queue.stream.read(&mut [0; 64]);
+        assert!(end.is_err() || end.is_ok_and(|count| count == 0), "closed");
+    }
+    // The node holds its answer, so the transaction ends by its outer limit.
+    client.submit(BUY, 1, 0x100, 8);
+    assert_eq!(client.io.next_completion().1, SCRAPPED);
+    assert_eq!(arrivals(&target).iter().filter(|(mark, _)| *mark == 0x200).count(), 0);
+}
+
 /// A node sends half a completion and nothing more: the gateway closes the connection, scraps the purchase, and does not
 /// repeat it.
 #[test]
--- a/crates/programs/tests/helper/mod.rs
+++ b/crates/programs/tests/helper/mod.rs
@@ -217,13 +217,13 @@
 
 impl Queue {
     /// Connects a queue, the admin queue if `number` is 0. Returns it with the controller id.
-    fn open(address: SocketAddr, number: u16, controller: u16, offer: Offer, name: &str) -> (Queue, u16) {
+    pub fn open(address: SocketAddr, number: u16, controller: u16, offer: Offer, name: &str) -> (Queue, u16) {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(MAX_WAIT)).unwrap();
         let host = Host::start_with(number, QUEUE_SIZE, controller, "nqn.test:gateway", name, offer);
         let mut queue = Queue { stream, host, events: Vec::new() };
-        let mut enable = Enable::new(1, false);
+        let mut enable = Enable::new(2, false);
         loop {
             let out = std::mem::take(&mut queue.host.out);
             queue.stream.write_all(&out).unwrap();
