The panic of a task ends the process, with a line and code 70

Change: the one place that starts tasks ends the process when a task panics, after a line with its kind and peer. Nothing goes on over state that was left half changed.

--- a/crates/initiator/src/polls.rs
+++ b/crates/initiator/src/polls.rs
@@ -19,7 +19,7 @@
 use hdrhistogram::Histogram;
 use rustix::time::{clock_gettime, ClockId};
 use serde::Serialize;
-use tracing::warn;
+use tracing::{error, warn};
 
 /// Shortest poll that is logged as a warning.
 const LONG_POLL: Duration = Duration::from_millis(100);
@@ -143,7 +143,27 @@
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
-/// Spawns a task whose polls are measured.
+/// Exit code of a process in which a task panicked (EX_SOFTWARE of sysexits).
+pub const TASK_PANIC_EXIT_CODE: i32 = 70;
+
+/// Ends the process when it is dropped by a panic. The executor keeps a panic of a detached task to itself, and the loop would go
+/// on without that task, over state that it may have left half changed: without timers, for instance, nothing is answered that
+/// waits for a time. A process that has ended is started again.
+struct ExitOnPanic<'a> {
+    task: TaskKind,
+    peer: &'a Peer,
+}
+
+impl Drop for ExitOnPanic<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            error!(task = ?self.task, peer = %self.peer, "a task panicked; the process ends");
+            std::process::exit(TASK_PANIC_EXIT_CODE);
+        }
+    }
+}
+
+/// Spawns a task whose polls are measured, and whose panic ends the process.
 pub fn spawn(
     executor: &LocalExecutor<'static>, task: TaskKind, peer: Peer, work: impl Future<Output = ()> + 'static,
 ) {
@@ -151,6 +171,7 @@
 }
 
 async fn measured(task: TaskKind, peer: Peer, work: impl Future<Output = ()>) {
+    let _exit_on_panic = ExitOnPanic { task, peer: &peer };
     let mut work = pin!(work);
     poll_fn(|context| {
         POLL_METRICS.with(|metrics| {
--- a/crates/initiator/tests/polls.rs
+++ b/crates/initiator/tests/polls.rs
@@ -1,12 +1,14 @@
 //! Tests that polls of the loop's tasks are measured, and that long ones are logged with their task and peer.
 
 use std::io::{self, Write};
+use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use quaypath_initiator::polls::{spawn, take_summary, Peer, TaskKind};
+use quaypath_initiator::polls::{spawn, take_summary, Peer, TaskKind, TASK_PANIC_EXIT_CODE};
+use test_case::test_case;
 
 /// A writer that collects the log output.
 #[derive(Clone, Default)]
@@ -68,3 +70,36 @@
     assert_eq!(take_summary().polls, 1);
     assert_eq!(take_summary().polls, 0);
 }
+
+/// Set for the process in which a task is to panic, to its name.
+const PANICKING_TASK: &str = "QUAYPATH_TEST_PANICKING_TASK";
+
+/// Guards against a process that goes on without one of its tasks, or over state that a panic left half changed. It runs the test
+/// program again, as what is looked at is the end of a process.
+#[test_case("timers", TaskKind::Timers)]
+#[test_case("accept", TaskKind::Accept)]
+#[test_case("client", TaskKind::Client)]
+#[test_case("attempt", TaskKind::Attempt)]
+#[test_case("node connection", TaskKind::NodeConnection)]
+#[test_case("discovery", TaskKind::Discovery)]
+#[test_case("fleet", TaskKind::Fleet)]
+#[test_case("signals", TaskKind::Signals)]
+#[test_case("report", TaskKind::Report)]
+fn a_panic_of_a_task_ends_the_process(name: &str, kind: TaskKind) {
+    if std::env::var(PANICKING_TASK).is_ok_and(|task| task == name) {
+        tracing_subscriber::fmt().with_ansi(false).with_writer(io::stderr).init();
+        let executor = LocalExecutor::new();
+        spawn(&executor, kind, Peer::None, async { panic!("planted") });
+        while executor.try_tick() {}
+        // The executor goes on, and so would the process.
+        return;
+    }
+    let test = thread::current().name().expect("the name of the test").to_string();
+    let mut command = Command::new(std::env::current_exe().expect("the test program"));
+    command.args(["--exact", &test, "--nocapture"]).env(PANICKING_TASK, name);
+    let output = command.output().expect("the test program runs");
+    let log = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(TASK_PANIC_EXIT_CODE), "{log}");
+    assert!(log.contains(&format!("a task panicked; the process ends task={kind:?} peer=none")), "{log}");
+    assert!(log.contains("planted"), "the panic itself is told: {log}");
+}
